--- /dev/null
+++ b/Makefile
@@ -0,0 +1,37 @@
+VENV := .venv
+BIN := $(VENV)/bin
+STAMP := $(VENV)/.installed
+NAME ?= replication
+ARGS ?=
+SECONDS ?= 60
+SEED ?= 1
+PYTEST_ARGS ?= -n 4
+
+.PHONY: demo test lint format generate bench soak
+
+$(STAMP): pyproject.toml constraints.txt
+	python3.11 -m venv $(VENV) 2>/dev/null || python3 -m venv $(VENV)
+	$(BIN)/python -m pip install -q -c constraints.txt -e '.[dev]'
+	touch $(STAMP)
+
+demo: $(STAMP)
+	$(BIN)/python -m banyantrack.testing.demo $(ARGS)
+
+test: $(STAMP)
+	$(BIN)/python -m pytest $(PYTEST_ARGS)
+
+lint: $(STAMP)
+	$(BIN)/ruff format --check .
+	$(BIN)/flake8 banyantrack benchmarks tools
+
+format: $(STAMP)
+	$(BIN)/ruff format .
+
+generate: $(STAMP)
+	$(BIN)/python tools/generate.py
+
+bench: $(STAMP)
+	$(BIN)/python -m benchmarks.$(NAME) $(ARGS)
+
+soak: $(STAMP)
+	$(BIN)/python -m banyantrack.testing.soak --seconds $(SECONDS) --seed $(SEED)
--- /dev/null
+++ b/banyantrack/__init__.py
@@ -0,0 +1,1 @@
+"""Scheduler for multi-accelerator jobs and dispatcher of requests."""
--- /dev/null
+++ b/banyantrack/core/__init__.py
@@ -0,0 +1,1 @@
+"""Small parts that every package uses."""
--- /dev/null
+++ b/banyantrack/core/documents.py
@@ -0,0 +1,391 @@
+"""Reads YAML and JSON documents into checked structs of the schema.
+
+The bounds come from the annotations of the schema. Every finding carries
+its line and column, and all are reported together.
+"""
+
+from __future__ import annotations
+
+import functools
+import importlib
+import importlib.resources
+import ipaddress
+import json
+import pathlib
+import re
+import types
+import typing
+
+import yaml
+
+from banyantrack.core import findings
+from banyantrack.core import registry
+from banyantrack.core import selectors
+
+if typing.TYPE_CHECKING:
+    import collections.abc
+
+    FormCheck = collections.abc.Callable[[str], str]
+
+_LOADER = getattr(yaml, 'CSafeLoader', yaml.SafeLoader)
+_NAME = re.compile(r'[a-z0-9]([a-z0-9._-]{0,61}[a-z0-9])?')
+_SHA256 = re.compile(r'[0-9a-f]{64}')
+_SCALAR_TYPES = {
+    'i32': int,
+    'i64': int,
+    'double': float,
+    'bool': bool,
+    'string': str,
+}
+_TYPE_NAMES = {
+    'i32': 'a whole number',
+    'i64': 'a whole number',
+    'double': 'a number',
+    'bool': 'true or false',
+    'string': 'text',
+    'list': 'a list',
+    'map': 'a map of text to text',
+    'struct': 'a map',
+}
+HIGHEST_PORT = 65535
+MAX_DEPTH = 20
+
+FORMS: registry.Registry[FormCheck] = registry.Registry('form')
+
+
+@FORMS.register('name')
+def _check_name(text: str) -> str:
+    if not text or _NAME.fullmatch(text):
+        return ''
+    return 'valid are up to 63 of a-z, 0-9, ".", "_" and "-"'
+
+
+@FORMS.register('address')
+def _check_address(text: str) -> str:
+    host, _, port = text.rpartition(':')
+    try:
+        ipaddress.ip_address(host.strip('[]'))
+    except ValueError:
+        return 'valid is IP:PORT with an IP number'
+    if not port.isascii() or not port.isdigit():
+        return 'valid is IP:PORT with a port number'
+    if not 0 < int(port) <= HIGHEST_PORT:
+        return f'valid ports are 1 to {HIGHEST_PORT}'
+    return ''
+
+
+@FORMS.register('folder')
+def _check_folder(text: str) -> str:
+    return '' if pathlib.PurePath(text).parts else 'valid is a folder'
+
+
+@FORMS.register('path')
+def _check_path(text: str) -> str:
+    return '' if text.startswith('/') else 'valid is a path that starts with /'
+
+
+@FORMS.register('sha256')
+def _check_sha256(text: str) -> str:
+    return '' if _SHA256.fullmatch(text) else 'valid are 64 of 0-9 and a-f'
+
+
+@FORMS.register('selector')
+def _check_selector(text: str) -> str:
+    try:
+        selectors.parse(text)
+    except selectors.SelectorError as error:
+        return f'selector {error}'
+    return ''
+
+
+class FieldModel:
+    """What the schema says of one field."""
+
+    __slots__ = (
+        'name',
+        'type',
+        'required',
+        'doc',
+        'struct',
+        'element',
+        'default',
+        'low',
+        'high',
+        'choices',
+        'form',
+    )
+
+    def __init__(self, raw: dict) -> None:
+        self.name: str = raw['name']
+        self.type: str = raw['type']
+        self.required: bool = raw['required']
+        self.doc: str = raw['doc']
+        self.struct: str = raw['class']
+        self.element: str = raw['element']
+        self.default = self._scalar(raw.get('default'))
+        self.low = self._scalar(raw.get('min'))
+        self.high = self._scalar(raw.get('max'))
+        self.choices = tuple(filter(None, raw.get('choices', '').split(',')))
+        self.form: str = raw.get('form', '')
+
+    def _scalar(self, text: str | None) -> object:
+        if text is None:
+            return None
+        if self.type == 'bool':
+            return text == 'true'
+        if self.type in ('list', 'map', 'struct'):
+            return int(text)
+        return _SCALAR_TYPES[self.type](text)
+
+
+class Model:
+    """The structs of one schema file.
+
+    Args:
+        package: Generated package, such as `settings`.
+    """
+
+    def __init__(self, package: str) -> None:
+        path = f'banyantrack.generated.{package}'
+        resource = importlib.resources.files(path) / 'model.json'
+        raw = json.loads(resource.read_text())
+        self._types: types.ModuleType = importlib.import_module(
+            f'{path}.ttypes'
+        )
+        self._structs = {
+            name: tuple(FieldModel(field) for field in fields)
+            for name, fields in raw.items()
+        }
+
+    def fields(self, struct: str) -> tuple[FieldModel, ...]:
+        """Returns the fields of a struct in their order."""
+        return self._structs[struct]
+
+    def make(self, struct: str, **values: object) -> typing.Any:
+        """Returns a struct whose missing fields have their defaults."""
+        for field in self._structs[struct]:
+            if field.name in values:
+                continue
+            if field.type == 'struct' and not field.required:
+                values[field.name] = self.make(field.struct)
+            elif field.type == 'list':
+                values[field.name] = []
+            else:
+                values[field.name] = field.default
+        return getattr(self._types, struct)(**values)
+
+
+@functools.cache
+def model(package: str) -> Model:
+    """Returns the model of a schema file, read once.
+
+    Args:
+        package: Generated package, such as `settings`.
+    """
+    return Model(package)
+
+
+class Reader:
+    """Reads nodes of one document into structs.
+
+    Args:
+        source: Name of the document, for places.
+        schema: Model of the structs.
+        found: Receives the findings.
+    """
+
+    def __init__(
+        self, source: str, schema: Model, found: findings.Findings
+    ) -> None:
+        self._source = source
+        self._model = schema
+        self._found = found
+
+    def compose(self, text: str) -> list[yaml.Node]:
+        """Returns the root nodes of all documents in a text."""
+        try:
+            return [
+                node
+                for node in yaml.compose_all(text, Loader=_LOADER)
+                if not _too_deep(node)
+            ]
+        except yaml.MarkedYAMLError as error:
+            mark = error.problem_mark
+            place = self._mark_place(mark) if mark else self._source
+            self._found.add(place, f'not valid YAML: {error.problem}')
+        except (yaml.YAMLError, RecursionError, ValueError) as error:
+            self._found.add(self._source, f'not valid YAML: {error}')
+        return []
+
+    def place(self, node: yaml.Node) -> str:
+        """Returns where a node starts, as `source:line:column`."""
+        return self._mark_place(node.start_mark)
+
+    def pairs(self, node: yaml.Node) -> dict[str, tuple[yaml.Node, yaml.Node]]:
+        """Returns the key and value nodes of a map by key.
+
+        Adds findings if the node is no map or has a key twice.
+        """
+        if not isinstance(node, yaml.MappingNode):
+            self._found.add(self.place(node), f'got {_kind(node)}; valid is a map')
+            return {}
+        pairs: dict[str, tuple[yaml.Node, yaml.Node]] = {}
+        for key, value in node.value:
+            name = str(key.value)
+            if name in pairs:
+                self._found.add(self.place(key), f'key {name!r} stands twice')
+                continue
+            pairs[name] = (key, value)
+        return pairs
+
+    def struct(self, node: yaml.Node, name: str) -> typing.Any:
+        """Reads a struct.
+
+        Args:
+            node: A map.
+            name: Name of the struct in the schema.
+
+        Returns:
+            The struct with defaults for what is missing. Where findings
+            were added its fields may be None.
+        """
+        pairs = self.pairs(node)
+        fields = {field.name: field for field in self._model.fields(name)}
+        for key, (key_node, _) in pairs.items():
+            if key not in fields:
+                valid = ', '.join(fields)
+                self._found.add(
+                    self.place(key_node),
+                    f'got unknown key {key!r}; valid are: {valid}',
+                )
+        values: dict[str, object] = {}
+        for key, field in fields.items():
+            if key in pairs:
+                values[key] = self._field(pairs[key][1], field)
+            elif field.required:
+                self._found.add(self.place(node), f'key {key!r} is missing')
+                values[key] = None
+        return self._model.make(name, **values)
+
+    def _field(self, node: yaml.Node, field: FieldModel) -> object:
+        if field.type == 'struct':
+            return self.struct(node, field.struct)
+        if field.type == 'list':
+            return self._list(node, field)
+        if field.type == 'map':
+            return self.text_map(node)
+        return self._scalar(node, field, field.type)
+
+    def text_map(self, node: yaml.Node) -> dict[str, str]:
+        """Reads a map of text to text; numbers and booleans count as text."""
+        values = {}
+        for key, (_, value) in self.pairs(node).items():
+            if isinstance(value, yaml.ScalarNode):
+                values[key] = value.value
+            else:
+                self._wrong(value, 'string')
+        return values
+
+    def _list(self, node: yaml.Node, field: FieldModel) -> list[object]:
+        if not isinstance(node, yaml.SequenceNode):
+            self._wrong(node, 'list')
+            return []
+        size = len(node.value)
+        if field.low is not None and not field.low <= size <= field.high:
+            self._found.add(
+                self.place(node),
+                f'got {size} elements for {field.name};'
+                f' valid are {field.low} to {field.high}',
+            )
+        if field.element == 'struct':
+            return [self.struct(item, field.struct) for item in node.value]
+        return [self._scalar(item, field, field.element) for item in node.value]
+
+    def _scalar(
+        self, node: yaml.Node, field: FieldModel, type_name: str
+    ) -> object:
+        if not isinstance(node, yaml.ScalarNode):
+            self._wrong(node, type_name)
+            return None
+        value = _scalar_value(node)
+        if type_name == 'double' and type(value) is int:
+            value = float(value)
+        if type(value) is not _SCALAR_TYPES[type_name]:
+            self._wrong(node, type_name)
+            return None
+        self._bounds(node, field, value)
+        return value
+
+    def _bounds(
+        self, node: yaml.Node, field: FieldModel, value: object
+    ) -> None:
+        if field.choices and value not in field.choices:
+            valid = ', '.join(field.choices)
+            self._add(node, field, value, f'valid are: {valid}')
+        elif field.form:
+            problem = FORMS.get(field.form)(value)
+            if not problem and field.required and not value:
+                problem = 'valid is text that is not empty'
+            if problem:
+                self._add(node, field, value, problem)
+        elif field.type in ('list', 'bool') or field.low is None:
+            return
+        elif not field.low <= value <= field.high:
+            self._add(
+                node, field, value, f'valid are {field.low} to {field.high}'
+            )
+
+    def _add(
+        self, node: yaml.Node, field: FieldModel, value: object, valid: str
+    ) -> None:
+        self._found.add(
+            self.place(node), f'got {value!r} for {field.name}; {valid}'
+        )
+
+    def _wrong(self, node: yaml.Node, type_name: str) -> None:
+        self._found.add(
+            self.place(node),
+            f'got {_kind(node)}; valid is {_TYPE_NAMES[type_name]}',
+        )
+
+    def _mark_place(self, mark: yaml.Mark) -> str:
+        return f'{self._source}:{mark.line + 1}:{mark.column + 1}'
+
+
+def _kind(node: yaml.Node) -> str:
+    if isinstance(node, yaml.MappingNode):
+        return 'a map'
+    if isinstance(node, yaml.SequenceNode):
+        return 'a list'
+    return repr(node.value)
+
+
+def _too_deep(node: yaml.Node, depth: int = 0) -> bool:
+    """Raises for nesting that only an attack or a mistake makes."""
+    if depth > MAX_DEPTH:
+        raise yaml.YAMLError(f'nested deeper than {MAX_DEPTH}')
+    if isinstance(node, yaml.MappingNode):
+        for key, value in node.value:
+            _too_deep(key, depth + 1)
+            _too_deep(value, depth + 1)
+    elif isinstance(node, yaml.SequenceNode):
+        for item in node.value:
+            _too_deep(item, depth + 1)
+    return False
+
+
+def _scalar_value(node: yaml.ScalarNode) -> object:
+    tag = node.tag.rpartition(':')[2]
+    try:
+        match tag:
+            case 'int':
+                return int(node.value.replace('_', ''), 0)
+            case 'float':
+                return float(node.value)
+            case 'bool':
+                return node.value.lower() in ('true', 'yes', 'on')
+            case 'null':
+                return None
+    except ValueError:
+        pass
+    return node.value
--- /dev/null
+++ b/banyantrack/core/logs.py
@@ -0,0 +1,140 @@
+"""Log lines of key=value pairs, one line for each event."""
+
+from __future__ import annotations
+
+import datetime
+import json
+import logging
+import re
+import typing
+
+from pythonjsonlogger import core
+
+from banyantrack.core import errors
+
+if typing.TYPE_CHECKING:
+    from banyantrack.generated.settings import ttypes as settings
+
+_PLAIN = re.compile(r'[A-Za-z0-9_./:+-]+')
+_PAIR = re.compile(
+    r'(?P<key>[A-Za-z0-9_.-]+)=(?P<value>"(?:[^"\\]|\\.)*"|[^\s"=]+)(?: |$)'
+)
+_KEY_CHARACTERS = re.compile(r'[^A-Za-z0-9_.-]')
+
+
+class LineError(errors.BanyanError, ValueError):
+    """A line is not made of key=value pairs."""
+
+
+def render_value(value: object) -> str:
+    """Returns a value as it stands in a line, quoted where needed."""
+    text = value if isinstance(value, str) else _text(value)
+    if _PLAIN.fullmatch(text):
+        return text
+    return json.dumps(text)
+
+
+def _text(value: object) -> str:
+    if isinstance(value, bool):
+        return 'true' if value else 'false'
+    if isinstance(value, float):
+        return f'{value:.6g}'
+    return str(value)
+
+
+def render_pairs(pairs: typing.Mapping[str, object]) -> str:
+    """Returns one line of key=value pairs."""
+    return ' '.join(
+        f'{_KEY_CHARACTERS.sub("_", key)}={render_value(value)}'
+        for key, value in pairs.items()
+    )
+
+
+def parse_line(line: str) -> dict[str, str]:
+    """Returns the pairs of one line.
+
+    Args:
+        line: A line that `render_pairs` made.
+
+    Raises:
+        LineError: If the line is cut or made of anything else.
+    """
+    pairs = {}
+    position = 0
+    line = line.rstrip('\n')
+    while position < len(line):
+        match = _PAIR.match(line, position)
+        if match is None:
+            raise LineError(f'column {position + 1}: no key=value pair')
+        value = match['value']
+        if value.startswith('"'):
+            value = json.loads(value, strict=False)
+        pairs[match['key']] = value
+        position = match.end()
+    return pairs
+
+
+class PairFormatter(core.BaseJsonFormatter):
+    """Renders each event as one line of key=value pairs."""
+
+    def __init__(self) -> None:
+        super().__init__(
+            ['levelname', 'name', 'message'],
+            rename_fields={
+                'levelname': 'level',
+                'name': 'logger',
+                'message': 'event',
+            },
+        )
+
+    def process_log_record(
+        self, log_data: dict[str, object]
+    ) -> dict[str, object]:
+        """Puts the time first, in UTC."""
+        now = datetime.datetime.now(datetime.timezone.utc)
+        stamp = now.isoformat(timespec='milliseconds')
+        return {'time': stamp} | super().process_log_record(log_data)
+
+    def jsonify_log_record(self, log_data: dict[str, object]) -> str:
+        """Renders the record; the name is given by the base class."""
+        pairs = {k: v for k, v in log_data.items() if v is not None}
+        return render_pairs(pairs)
+
+
+def event(
+    logger: logging.Logger,
+    name: str,
+    /,
+    *,
+    level: int = logging.INFO,
+    **values: object,
+) -> None:
+    """Writes one event.
+
+    Args:
+        logger: The module's logger.
+        name: Name of the event.
+        level: Severity, as in `logging`.
+        **values: Values of the event.
+    """
+    if logger.isEnabledFor(level):
+        logger.log(level, name, extra=values)
+
+
+def configure(settings: settings.LoggingSettings) -> None:
+    """Sets up the root logger.
+
+    Args:
+        settings: Checked settings.
+
+    Raises:
+        OSError: If the log file cannot be opened.
+    """
+    if settings.file:
+        handler = logging.FileHandler(settings.file, encoding='utf-8')
+    else:
+        handler = logging.StreamHandler()
+    handler.setFormatter(PairFormatter())
+    root = logging.getLogger()
+    root.handlers[:] = [handler]
+    root.setLevel(settings.level.upper())
--- /dev/null
+++ b/banyantrack/intent/objects.py
@@ -0,0 +1,226 @@
+"""Kinds of objects and their documents."""
+
+from __future__ import annotations
+
+import dataclasses
+import typing
+
+import yaml
+
+from banyantrack.core import documents
+from banyantrack.core import findings
+from banyantrack.generated.intent import ttypes
+
+if typing.TYPE_CHECKING:
+    Body = (
+        ttypes.Customer
+        | ttypes.Guarantee
+        | ttypes.Job
+        | ttypes.Route
+        | ttypes.LabelSet
+    )
+
+MAX_DOCUMENTS = 10_000
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Kind:
+    """One kind of object.
+
+    Attributes:
+        number: Its number in the schema.
+        plural: Its name in paths and on the command line.
+        field: Field of `StoredObject` that holds its body.
+        struct: Struct of its body.
+    """
+
+    number: int
+    plural: str
+    field: str
+    struct: str
+
+
+KINDS = (
+    Kind(ttypes.ObjectKind.CUSTOMER, 'customers', 'customer', 'Customer'),
+    Kind(ttypes.ObjectKind.GUARANTEE, 'guarantees', 'guarantee', 'Guarantee'),
+    Kind(ttypes.ObjectKind.JOB, 'jobs', 'job', 'Job'),
+    Kind(ttypes.ObjectKind.ROUTE, 'routes', 'route', 'Route'),
+    Kind(
+        ttypes.ObjectKind.WORKER_LABELS, 'worker-labels', 'labels', 'LabelSet'
+    ),
+    Kind(
+        ttypes.ObjectKind.BACKEND_LABELS,
+        'backend-labels',
+        'labels',
+        'LabelSet',
+    ),
+)
+BY_NUMBER = {kind.number: kind for kind in KINDS}
+BY_PLURAL = {kind.plural: kind for kind in KINDS}
+BY_NAME = BY_PLURAL | {
+    kind.plural.removesuffix('s'): kind for kind in KINDS
+}
+
+
+def kind_of(stored: ttypes.StoredObject) -> Kind:
+    """Returns the kind of an object."""
+    return BY_NUMBER[stored.kind]
+
+
+def body_of(stored: ttypes.StoredObject) -> Body:
+    """Returns the body of an object."""
+    return getattr(stored, kind_of(stored).field)
+
+
+def make(
+    kind: Kind, name: str, body: Body, revision: int = 0
+) -> ttypes.StoredObject:
+    """Returns an object."""
+    stored = ttypes.StoredObject(
+        kind=kind.number, name=name, revision=revision, deleted=False
+    )
+    setattr(stored, kind.field, body)
+    return stored
+
+
+def tombstone(kind: Kind, name: str, revision: int = 0) -> ttypes.StoredObject:
+    """Returns an object that says that there is none."""
+    return ttypes.StoredObject(
+        kind=kind.number, name=name, revision=revision, deleted=True
+    )
+
+
+def to_plain(stored: ttypes.StoredObject) -> dict[str, object]:
+    """Returns an object as it stands in JSON and YAML documents."""
+    kind = kind_of(stored)
+    plain: dict[str, object] = {
+        'kind': kind.plural.removesuffix('s'),
+        'name': stored.name,
+        'revision': stored.revision,
+    }
+    if stored.deleted:
+        plain['deleted'] = True
+        return plain
+    body = body_of(stored)
+    if isinstance(body, ttypes.LabelSet):
+        plain['labels'] = dict(body.labels)
+        return plain
+    for field in documents.model('intent').fields(kind.struct):
+        plain[field.name] = getattr(body, field.name)
+    return plain
+
+
+class DocumentReader:
+    """Reads objects from YAML or JSON text.
+
+    Args:
+        source: Name of the text, for places.
+        found: Receives the findings.
+    """
+
+    def __init__(self, source: str, found: findings.Findings) -> None:
+        self._source = source
+        self._found = found
+        self._reader = documents.Reader(
+            source, documents.model('intent'), found
+        )
+        self._checker = documents.FORMS.get('name')
+
+    def body(self, text: str, kind: Kind) -> Body | None:
+        """Reads the body of one object of a known kind."""
+        nodes = self._reader.compose(text)
+        if len(nodes) != 1:
+            if not self._found.found:
+                self._found.add(
+                    self._source,
+                    f'got {len(nodes)} documents; valid is one map',
+                )
+            return None
+        return self._body(nodes[0], kind, {'kind', 'name', 'revision'})
+
+    def objects(self, text: str) -> list[ttypes.StoredObject]:
+        """Reads several objects, each with its kind and name.
+
+        The text holds documents, each an object or a list of objects.
+        """
+        nodes: list[yaml.Node] = []
+        for node in self._reader.compose(text):
+            if isinstance(node, yaml.SequenceNode):
+                nodes.extend(node.value)
+            else:
+                nodes.append(node)
+        if len(nodes) > MAX_DOCUMENTS:
+            self._found.add(
+                self._source,
+                f'got {len(nodes)} objects; valid are {MAX_DOCUMENTS}',
+            )
+            return []
+        read = [self._object(node) for node in nodes]
+        return [stored for stored in read if stored is not None]
+
+    def check_name(self, place: str, name: str) -> None:
+        """Adds a finding if a name is not valid."""
+        problem = self._checker(name)
+        if not name:
+            problem = 'valid is text that is not empty'
+        if problem:
+            self._found.add(place, f'got {name!r} for name; {problem}')
+
+    def _object(self, node: yaml.Node) -> ttypes.StoredObject | None:
+        pairs = self._reader.pairs(node)
+        if not pairs:
+            return None
+        name = self._text(node, pairs, 'name')
+        kind_name = self._text(node, pairs, 'kind')
+        if name is None or kind_name is None:
+            return None
+        self.check_name(self._reader.place(pairs['name'][1]), name)
+        kind = BY_NAME.get(kind_name)
+        if kind is None:
+            valid = ', '.join(k.plural.removesuffix('s') for k in KINDS)
+            self._found.add(
+                self._reader.place(pairs['kind'][1]),
+                f'got kind {kind_name!r}; valid are: {valid}',
+            )
+            return None
+        body = self._body(node, kind, {'kind', 'name', 'revision'})
+        return make(kind, name, body)
+
+    def _text(
+        self,
+        node: yaml.Node,
+        pairs: dict[str, tuple[yaml.Node, yaml.Node]],
+        key: str,
+    ) -> str | None:
+        if key not in pairs:
+            self._found.add(
+                self._reader.place(node), f'key {key!r} is missing'
+            )
+            return None
+        return str(pairs[key][1].value)
+
+    def _body(
+        self, node: yaml.Node, kind: Kind, besides: set[str]
+    ) -> Body | None:
+        if not isinstance(node, yaml.MappingNode):
+            self._reader.pairs(node)
+            return None
+        rest = [
+            (key, value)
+            for key, value in node.value
+            if key.value not in besides
+        ]
+        bare = yaml.MappingNode(
+            node.tag, rest, node.start_mark, node.end_mark
+        )
+        if kind.struct == 'LabelSet':
+            pairs = self._reader.pairs(bare)
+            if set(pairs) != {'labels'}:
+                self._found.add(
+                    self._reader.place(node),
+                    f'got keys {sorted(pairs)}; valid is labels',
+                )
+                return None
+            labels = self._reader.text_map(pairs['labels'][1])
+            return ttypes.LabelSet(labels=labels)
+        return self._reader.struct(bare, kind.struct)
--- /dev/null
+++ b/banyantrack/intent/state.py
@@ -0,0 +1,316 @@
+"""The replicated state: objects, keys, claims and jobs."""
+
+from __future__ import annotations
+
+import typing
+
+from banyantrack.core import codec
+from banyantrack.core import errors
+from banyantrack.core import findings
+from banyantrack.generated.intent import ttypes
+from banyantrack.intent import claims
+from banyantrack.intent import feed
+from banyantrack.intent import jobs
+from banyantrack.intent import keys
+from banyantrack.intent import objects
+from banyantrack.intent import validation
+
+if typing.TYPE_CHECKING:
+    import collections.abc
+
+SNAPSHOT_VERSION = 1
+# Bounds that a caller may name instead of a revision.
+ANY_REVISION = 0
+MUST_NOT_EXIST = -1
+
+Kind = ttypes.ObjectKind
+Verdict = ttypes.Verdict
+
+
+class IntentState:
+    """State machine of the control group.
+
+    Revisions are indexes of the log, so they only go up.
+    """
+
+    def __init__(self) -> None:
+        self._revision = 0
+        self._clock_ms = 0
+        self._objects: dict[tuple[int, str], ttypes.StoredObject] = {}
+        self._keys = keys.KeyTable()
+        self._claims = claims.ClaimTable()
+        self._jobs = jobs.JobTable()
+        self._feed = feed.ChangeFeed()
+        self._generation = 0
+
+    @property
+    def revision(self) -> int:
+        """Revision of the latest change of an object."""
+        return self._revision
+
+    @property
+    def clock_ms(self) -> int:
+        """Latest time in a command, in milliseconds since 1970."""
+        return self._clock_ms
+
+    @property
+    def generation(self) -> int:
+        """Goes up whenever jobs or objects change in any way."""
+        return self._generation
+
+    @property
+    def jobs(self) -> jobs.JobTable:
+        """Status of all jobs."""
+        return self._jobs
+
+    @property
+    def claims(self) -> claims.ClaimTable:
+        """Claims of requests."""
+        return self._claims
+
+    @property
+    def feed(self) -> feed.ChangeFeed:
+        """Recent changes."""
+        return self._feed
+
+    def get(self, kind: int, name: str) -> ttypes.StoredObject | None:
+        """Returns an object, or None."""
+        return self._objects.get((kind, name))
+
+    def of_kind(self, *kinds: int) -> list[ttypes.StoredObject]:
+        """Returns all objects of some kinds."""
+        return [
+            stored for key, stored in self._objects.items() if key[0] in kinds
+        ]
+
+    def apply(self, index: int, payload: bytes) -> object:
+        """Applies a command; see `replication.StateMachine`."""
+        command = codec.decode(ttypes.Command, payload)
+        self._clock_ms = max(self._clock_ms, command.now_ms)
+        self._generation += 1
+        if command.apply is not None:
+            return self._apply_changes(index, command.apply)
+        if command.claim is not None:
+            return self._claims.claim(command.claim, self._clock_ms)
+        if command.claim_result is not None:
+            self._claims.finish(command.claim_result)
+        if command.claim_release is not None:
+            self._claims.release(command.claim_release)
+        if command.place is not None:
+            self._place(index, command.place)
+        if command.job_events is not None:
+            self._job_events(index, command.job_events)
+        return None
+
+    def snapshot(self) -> bytes:
+        """Returns the whole state; see `replication.StateMachine`."""
+        return codec.encode(
+            ttypes.IntentSnapshot(
+                version=SNAPSHOT_VERSION,
+                revision=self._revision,
+                objects=list(self._objects.values()),
+                keys=self._keys.records(),
+                claims=self._claims.records(),
+                jobs=self._jobs.statuses(),
+                clock_ms=self._clock_ms,
+            )
+        )
+
+    def restore(self, data: bytes) -> None:
+        """Replaces the state; see `replication.StateMachine`."""
+        snapshot = codec.decode(ttypes.IntentSnapshot, data)
+        errors.check_invariant(
+            snapshot.version == SNAPSHOT_VERSION,
+            'got snapshot version %d; valid is %d',
+            snapshot.version,
+            SNAPSHOT_VERSION,
+        )
+        errors.check_invariant(
+            snapshot.revision >= self._revision,
+            'revision %d after %d',
+            snapshot.revision,
+            self._revision,
+        )
+        self._revision = snapshot.revision
+        self._clock_ms = snapshot.clock_ms
+        self._objects = {
+            (stored.kind, stored.name): stored for stored in snapshot.objects
+        }
+        self._keys.restore(snapshot.keys)
+        self._claims.restore(snapshot.claims)
+        self._jobs.restore(snapshot.jobs)
+        self._feed.reset(snapshot.revision)
+        self._generation += 1
+
+    # Changes of objects.
+
+    def _apply_changes(
+        self, index: int, command: ttypes.ApplyCommand
+    ) -> ttypes.ApplyResult:
+        key = command.idempotency_key
+        if not key:
+            return self._decide(index, command)
+        record = self._keys.get(key)
+        if record is not None:
+            if record.digest != command.digest:
+                return _refusal(Verdict.KEY_MISMATCH, self._revision)
+            return _replayed(record.result)
+        if not self._keys.make_room(self._clock_ms):
+            return _refusal(Verdict.FULL, self._revision)
+        result = self._decide(index, command)
+        self._keys.put(
+            ttypes.KeyRecord(
+                key=key,
+                digest=command.digest,
+                at_ms=self._clock_ms,
+                result=result,
+            )
+        )
+        return result
+
+    def _decide(
+        self, index: int, command: ttypes.ApplyCommand
+    ) -> ttypes.ApplyResult:
+        for change in command.changes:
+            if not self._matches(change):
+                return self._conflict(change)
+        changed = [change.object for change in command.changes]
+        found = findings.Findings()
+        view = validation.View(self._objects, changed)
+        validation.check_changes(view, changed, found)
+        self._check_placed(changed, found)
+        if found.found:
+            result = _refusal(Verdict.INVALID, self._revision)
+            result.findings = [
+                ttypes.Finding(place=f.place, message=f.message)
+                for f in found.found
+            ]
+            return result
+        for stored in changed:
+            self._store(index, stored)
+        self._expire(index)
+        return ttypes.ApplyResult(
+            verdict=Verdict.APPLIED,
+            revision=index,
+            findings=[],
+            replayed=False,
+        )
+
+    def _matches(self, change: ttypes.Change) -> bool:
+        if change.if_match == ANY_REVISION:
+            return True
+        key = (change.object.kind, change.object.name)
+        current = self._objects.get(key)
+        if change.if_match == MUST_NOT_EXIST:
+            return current is None
+        return current is not None and current.revision == change.if_match
+
+    def _conflict(self, change: ttypes.Change) -> ttypes.ApplyResult:
+        key = (change.object.kind, change.object.name)
+        result = _refusal(Verdict.CONFLICT, self._revision)
+        result.current = self._objects.get(key)
+        return result
+
+    def _check_placed(
+        self,
+        changed: collections.abc.Iterable[ttypes.StoredObject],
+        found: findings.Findings,
+    ) -> None:
+        for stored in changed:
+            if stored.kind != Kind.JOB or stored.deleted:
+                continue
+            status = self._jobs.get(stored.name)
+            current = self._objects.get((Kind.JOB, stored.name))
+            if (
+                status is None
+                or status.phase == jobs.Phase.WAITING
+                or (current is not None and current.job == stored.job)
+            ):
+                continue
+            found.add(
+                f'jobs/{stored.name}',
+                'the job was placed and cannot change;'
+                ' valid is another name, or to delete it first',
+            )
+
+    def _store(self, index: int, stored: ttypes.StoredObject) -> None:
+        errors.check_invariant(
+            index >= self._revision,
+            'revision %d after %d',
+            index,
+            self._revision,
+        )
+        key = (stored.kind, stored.name)
+        known = key in self._objects
+        if stored.deleted:
+            if not known:
+                return
+            del self._objects[key]
+        else:
+            self._objects[key] = stored
+        stored.revision = index
+        self._revision = index
+        self._feed.add(stored)
+        if stored.kind == Kind.JOB:
+            self._store_job(index, stored, known)
+
+    def _store_job(
+        self, index: int, stored: ttypes.StoredObject, known: bool
+    ) -> None:
+        status = self._jobs.get(stored.name)
+        if stored.deleted:
+            self._jobs.cancel(stored.name, self._clock_ms)
+        elif status is None or not known:
+            self._jobs.submit(stored.name, index, self._clock_ms)
+        else:
+            status.revision = index
+
+    def _expire(self, index: int) -> None:
+        """Drops the objects of jobs that finished long ago."""
+        for name in self._jobs.expire():
+            stored = self._objects.pop((Kind.JOB, name), None)
+            if stored is not None:
+                self._revision = index
+                kind = objects.BY_NUMBER[Kind.JOB]
+                self._feed.add(objects.tombstone(kind, name, index))
+
+    # Placement.
+
+    def _place(
+        self, index: int, commands: list[ttypes.PlaceCommand]
+    ) -> None:
+        for command in commands:
+            if (Kind.JOB, command.job) in self._objects:
+                self._jobs.place(command, index, self._clock_ms)
+
+    def _job_events(
+        self, index: int, commands: list[ttypes.JobEventCommand]
+    ) -> None:
+        for command in commands:
+            if not self._jobs.event(command, self._clock_ms):
+                continue
+            status = self._jobs.get(command.job)
+            stored = self._objects.get((Kind.JOB, command.job))
+            if (
+                status.phase == jobs.Phase.WAITING
+                and stored is not None
+                and status.attempts > stored.job.retry_limit
+            ):
+                self._jobs.give_up(command.job, self._clock_ms)
+        self._expire(index)
+
+
+def _refusal(verdict: int, revision: int) -> ttypes.ApplyResult:
+    return ttypes.ApplyResult(
+        verdict=verdict, revision=revision, findings=[], replayed=False
+    )
+
+
+def _replayed(result: ttypes.ApplyResult) -> ttypes.ApplyResult:
+    return ttypes.ApplyResult(
+        verdict=result.verdict,
+        revision=result.revision,
+        findings=result.findings,
+        current=result.current,
+        replayed=True,
+    )
--- /dev/null
+++ b/banyantrack/intent/validation.py
@@ -0,0 +1,221 @@
+"""Checks of objects against each other."""
+
+from __future__ import annotations
+
+import typing
+
+from banyantrack.core import findings
+from banyantrack.core import registry
+from banyantrack.core import selectors
+from banyantrack.generated.intent import ttypes
+from banyantrack.intent import objects
+
+if typing.TYPE_CHECKING:
+    import collections.abc
+
+    Check = collections.abc.Callable[
+        [str, 'View', ttypes.StoredObject, findings.Findings], None
+    ]
+
+Kind = ttypes.ObjectKind
+CHECKS: registry.Registry[Check] = registry.Registry('check')
+
+
+class View:
+    """Objects as they would be after some changes.
+
+    Args:
+        current: The objects now, by kind and name.
+        changes: The changed objects.
+    """
+
+    def __init__(
+        self,
+        current: collections.abc.Mapping[
+            tuple[int, str], ttypes.StoredObject
+        ],
+        changes: collections.abc.Iterable[ttypes.StoredObject],
+    ) -> None:
+        self._current = current
+        self._changed = {
+            (stored.kind, stored.name): stored for stored in changes
+        }
+
+    def get(self, kind: int, name: str) -> ttypes.StoredObject | None:
+        """Returns an object, or None."""
+        key = (kind, name)
+        found = self._changed.get(key) or self._current.get(key)
+        return None if found is None or found.deleted else found
+
+    def of_kind(
+        self, kind: int
+    ) -> collections.abc.Iterator[ttypes.StoredObject]:
+        """Yields all objects of a kind."""
+        for key, stored in self._current.items():
+            if key[0] == kind and key not in self._changed:
+                yield stored
+        for key, stored in self._changed.items():
+            if key[0] == kind and not stored.deleted:
+                yield stored
+
+
+def check_changes(
+    view: View,
+    changes: collections.abc.Sequence[ttypes.StoredObject],
+    found: findings.Findings,
+) -> None:
+    """Checks all changed objects.
+
+    Args:
+        view: Objects as they would be.
+        changes: The changed objects.
+        found: Receives the findings.
+    """
+    for stored in changes:
+        kind = objects.kind_of(stored)
+        place = f'{kind.plural}/{stored.name}'
+        name = f'delete {kind.plural}' if stored.deleted else kind.plural
+        if name in set(CHECKS):
+            CHECKS.get(name)(place, view, stored, found)
+
+
+def _check_selector(
+    place: str, text: str, found: findings.Findings
+) -> None:
+    try:
+        selectors.parse(text or '')
+    except selectors.SelectorError as error:
+        found.add(f'{place}/selector', str(error))
+
+
+def _check_customer(
+    place: str, name: str, view: View, found: findings.Findings
+) -> ttypes.Customer | None:
+    stored = view.get(Kind.CUSTOMER, name)
+    if stored is None:
+        valid = sorted(s.name for s in view.of_kind(Kind.CUSTOMER))
+        found.add(
+            f'{place}/customer',
+            f'got unknown customer {name!r};'
+            f' valid are: {", ".join(valid) or "none yet"}',
+        )
+        return None
+    return stored.customer
+
+
+def guaranteed_accelerators(view: View, customer: str) -> int:
+    """Returns the accelerators of all guarantees of a customer."""
+    return sum(
+        stored.guarantee.count * stored.guarantee.accelerators
+        for stored in view.of_kind(Kind.GUARANTEE)
+        if stored.guarantee.customer == customer
+    )
+
+
+def _check_quota(
+    place: str,
+    view: View,
+    name: str,
+    customer: ttypes.Customer,
+    found: findings.Findings,
+) -> None:
+    quota = customer.quota_accelerators
+    held = guaranteed_accelerators(view, name)
+    if quota and held > quota:
+        found.add(
+            place,
+            f'got guarantees of {held} accelerators for customer {name!r};'
+            f' valid are up to its quota of {quota}',
+        )
+
+
+@CHECKS.register('customers')
+def _customer(
+    place: str,
+    view: View,
+    stored: ttypes.StoredObject,
+    found: findings.Findings,
+) -> None:
+    _check_quota(
+        f'{place}/quota_accelerators',
+        view,
+        stored.name,
+        stored.customer,
+        found,
+    )
+
+
+@CHECKS.register('delete customers')
+def _delete_customer(
+    place: str,
+    view: View,
+    stored: ttypes.StoredObject,
+    found: findings.Findings,
+) -> None:
+    for kind in (Kind.GUARANTEE, Kind.JOB):
+        users = [
+            other.name
+            for other in view.of_kind(kind)
+            if objects.body_of(other).customer == stored.name
+        ]
+        if users:
+            plural = objects.BY_NUMBER[kind].plural
+            found.add(
+                place,
+                f'{len(users)} {plural} belong to it, such as {users[0]!r};'
+                ' valid is to delete them first',
+            )
+
+
+@CHECKS.register('guarantees')
+def _guarantee(
+    place: str,
+    view: View,
+    stored: ttypes.StoredObject,
+    found: findings.Findings,
+) -> None:
+    guarantee = stored.guarantee
+    _check_selector(place, guarantee.selector, found)
+    customer = _check_customer(place, guarantee.customer, view, found)
+    if customer is not None:
+        _check_quota(place, view, guarantee.customer, customer, found)
+
+
+@CHECKS.register('jobs')
+def _job(
+    place: str,
+    view: View,
+    stored: ttypes.StoredObject,
+    found: findings.Findings,
+) -> None:
+    job = stored.job
+    _check_selector(place, job.selector, found)
+    customer = _check_customer(place, job.customer, view, found)
+    if customer is None or not customer.quota_accelerators:
+        return
+    wanted = job.members * job.accelerators
+    if wanted > customer.quota_accelerators:
+        found.add(
+            f'{place}/members',
+            f'got a gang of {wanted} accelerators; valid are up to the quota'
+            f' of {customer.quota_accelerators} of customer {job.customer!r}',
+        )
+
+
+@CHECKS.register('routes')
+def _route(
+    place: str,
+    view: View,
+    stored: ttypes.StoredObject,
+    found: findings.Findings,
+) -> None:
+    route = stored.route
+    _check_selector(place, route.selector, found)
+    if route.customer:
+        _check_customer(place, route.customer, view, found)
+    for other in view.of_kind(Kind.ROUTE):
+        if other.name != stored.name and other.route.prefix == route.prefix:
+            found.add(
+                f'{place}/prefix',
+                f'got {route.prefix!r}, which route {other.name!r} has',
+            )
--- /dev/null
+++ b/banyantrack/replication/__init__.py
@@ -0,0 +1,41 @@
+"""A replicated log that others can embed.
+
+It agrees on a sequence of entries among up to seven members, keeps them
+durably, and applies them to a state machine of the user's.
+"""
+
+from banyantrack.replication.api import Applied
+from banyantrack.replication.api import Options
+from banyantrack.replication.api import ReplicaStatus
+from banyantrack.replication.api import StateMachine
+from banyantrack.replication.api import Transport
+from banyantrack.replication.errors import CorruptionError
+from banyantrack.replication.errors import DiskFullError
+from banyantrack.replication.errors import MembershipError
+from banyantrack.replication.errors import NotAppliedError
+from banyantrack.replication.errors import NotLeaderError
+from banyantrack.replication.errors import ReplicationError
+from banyantrack.replication.errors import StorageError
+from banyantrack.replication.errors import UnknownOutcomeError
+from banyantrack.replication.group import register
+from banyantrack.replication.replica import Replica
+from banyantrack.replication.storage import Storage
+
+__all__ = (
+    'Applied',
+    'CorruptionError',
+    'DiskFullError',
+    'MembershipError',
+    'NotAppliedError',
+    'NotLeaderError',
+    'Options',
+    'Replica',
+    'ReplicaStatus',
+    'ReplicationError',
+    'StateMachine',
+    'Storage',
+    'StorageError',
+    'Transport',
+    'UnknownOutcomeError',
+    'register',
+)
--- /dev/null
+++ b/banyantrack/replication/group.py
@@ -0,0 +1,55 @@
+"""Connects a replica to an RPC server."""
+
+from __future__ import annotations
+
+import typing
+
+from banyantrack.core import errors
+from banyantrack.generated.cluster import ttypes as cluster
+from banyantrack.generated.replication import ttypes
+from banyantrack.replication import elections
+from banyantrack.transport import rpc
+
+if typing.TYPE_CHECKING:
+    from banyantrack.replication import replica
+
+
+def register(server: rpc.RpcServer, member: replica.Replica) -> None:
+    """Makes an RPC server answer the other members of a group.
+
+    Args:
+        server: The server at the member's address.
+        member: The member.
+    """
+
+    async def vote(request: ttypes.VoteRequest) -> ttypes.VoteReply:
+        return await elections.receive_vote(member, request)
+
+    async def hand_over(
+        request: ttypes.HandOverRequest,
+    ) -> ttypes.HandOverReply:
+        return await elections.receive_hand_over(member, request)
+
+    for request_type, handler in (
+        (ttypes.VoteRequest, vote),
+        (ttypes.HandOverRequest, hand_over),
+        (ttypes.AppendRequest, member.receive_append),
+        (ttypes.SnapshotRequest, member.receive_snapshot),
+    ):
+        server.handle(request_type, _guarded(member, handler))
+    server.handle(ttypes.JoinRequest, member.receive_join, concurrent=True)
+
+
+def _guarded(member: replica.Replica, handler: rpc.Handler) -> rpc.Handler:
+    """Ends the member when a message makes it fail, as its own tasks do."""
+
+    async def handle(request: typing.Any) -> typing.Any:
+        try:
+            return await handler(request)
+        except errors.BanyanError as error:
+            await member.fail(error)
+            raise rpc.CallError(
+                cluster.ErrorCode.UNAVAILABLE, str(error)
+            ) from error
+
+    return handle
--- /dev/null
+++ b/banyantrack/replication/wal.py
@@ -0,0 +1,325 @@
+"""Write-ahead log in segments, with its entries kept in memory."""
+
+from __future__ import annotations
+
+import collections.abc
+import errno
+import os
+import pathlib
+import typing
+
+from banyantrack.core import codec
+from banyantrack.core import errors as core_errors
+from banyantrack.generated.replication import ttypes
+from banyantrack.replication import errors
+from banyantrack.replication import files
+
+if typing.TYPE_CHECKING:
+    Sync = collections.abc.Callable[[int], None]
+
+SEGMENT_KIND = b'BTWL'
+SEGMENT_LIMIT_BYTES = 4 * 1024 * 1024
+_SEGMENT_GLOB = 'log-*.wal'
+
+
+def segment_path(folder: pathlib.Path, first_index: int) -> pathlib.Path:
+    """Returns the path of the segment that starts with an index."""
+    return folder / f'log-{first_index:020d}.wal'
+
+
+def segment_paths(folder: pathlib.Path) -> list[pathlib.Path]:
+    """Returns all segments in order."""
+    return sorted(folder.glob(_SEGMENT_GLOB))
+
+
+def read_segment(
+    path: pathlib.Path, *, last: bool
+) -> collections.abc.Iterator[tuple[list[ttypes.LogEntry], int]]:
+    """Reads the batches of a segment with the offset after each.
+
+    Args:
+        path: The segment.
+        last: Whether it is the last one, which a crash may have torn.
+
+    Raises:
+        StorageError: If it cannot be read or is of another format.
+        CorruptionError: If a record before the end is bad.
+    """
+    data = path.read_bytes()
+    if last and len(data) < files.FILE_HEAD_BYTES:
+        return
+    files.check_head(path, data, SEGMENT_KIND)
+    for record in files.read_records(path, data, may_be_torn=last):
+        try:
+            batch = codec.decode(ttypes.LogBatch, record.payload)
+        except codec.DecodeError as error:
+            raise errors.CorruptionError(
+                f'{path}: before byte {record.end}: {error}'
+            ) from error
+        yield batch.entries, record.end
+
+
+class _Segment:
+    """One file of the log."""
+
+    __slots__ = ('path', 'first_index', 'size')
+
+    def __init__(self, path: pathlib.Path, first_index: int) -> None:
+        self.path = path
+        self.first_index = first_index
+        self.size = files.FILE_HEAD_BYTES
+
+
+class WriteAheadLog:
+    """The entries after the last snapshot, on disk and in memory.
+
+    The files are only appended to. A batch that starts at or before the
+    last entry replaces the entries from its start on, so that a change of
+    mind never rewrites what was synced.
+
+    Args:
+        folder: The data folder.
+        start_index: Index of the entry before the first one.
+        start_term: Its term.
+        sync: Syncs a descriptor; tests replace it.
+    """
+
+    def __init__(
+        self,
+        folder: pathlib.Path,
+        start_index: int,
+        start_term: int,
+        *,
+        sync: Sync = files.sync_file,
+    ) -> None:
+        self._folder = folder
+        self._sync = sync
+        self._start_index = start_index
+        self._start_term = start_term
+        self._entries: list[ttypes.LogEntry] = []
+        self._segments: list[_Segment] = []
+        self._descriptor = -1
+        self._load()
+
+    @property
+    def start_index(self) -> int:
+        """Index of the entry before the first one that is kept."""
+        return self._start_index
+
+    @property
+    def last_index(self) -> int:
+        """Index of the last entry."""
+        return self._start_index + len(self._entries)
+
+    @property
+    def last_term(self) -> int:
+        """Term of the last entry."""
+        return self._entries[-1].term if self._entries else self._start_term
+
+    def term_at(self, index: int) -> int | None:
+        """Returns the term of an entry, or None if it is not kept."""
+        if index == self._start_index:
+            # 0 stands for a term that went with its segment.
+            known = self._start_term or index == 0
+            return self._start_term if known else None
+        if self._start_index < index <= self.last_index:
+            return self._entries[index - self._start_index - 1].term
+        return None
+
+    def entry(self, index: int) -> ttypes.LogEntry:
+        """Returns an entry that is kept."""
+        return self._entries[index - self._start_index - 1]
+
+    def entries_from(
+        self, index: int, limit_bytes: int
+    ) -> list[ttypes.LogEntry]:
+        """Returns entries from an index on; at least one if there is one.
+
+        Args:
+            index: First index.
+            limit_bytes: Bytes of payload after which the list ends.
+        """
+        chosen = []
+        size = 0
+        position = index - self._start_index - 1
+        while position < len(self._entries) and size < limit_bytes:
+            entry = self._entries[position]
+            chosen.append(entry)
+            size += len(entry.payload)
+            position += 1
+        return chosen
+
+    def append(self, entries: list[ttypes.LogEntry]) -> None:
+        """Writes entries as one batch, without syncing it.
+
+        Raises:
+            DiskFullError: If there is no room; nothing was added.
+            StorageError: If the write fails.
+        """
+        core_errors.check_invariant(
+            entries[0].index == self.last_index + 1,
+            'append of index %d after %d',
+            entries[0].index,
+            self.last_index,
+        )
+        segment = self._writable(entries[0].index)
+        batch = codec.encode(ttypes.LogBatch(entries=entries))
+        record = files.encode_record(batch)
+        self._write(segment, record)
+        segment.size += len(record)
+        self._entries.extend(entries)
+
+    def sync(self) -> None:
+        """Syncs what was appended; may run in another thread.
+
+        Raises:
+            StorageError: If it fails; fatal.
+        """
+        self._sync(self._descriptor)
+
+    def truncate_from(self, index: int) -> None:
+        """Forgets the entries from an index on.
+
+        On disk they stand until the next append replaces them.
+        """
+        core_errors.check_invariant(
+            index > self._start_index,
+            'truncation at %d of a log that starts after %d',
+            index,
+            self._start_index,
+        )
+        del self._entries[index - self._start_index - 1 :]
+
+    def reset(self, start_index: int, start_term: int) -> None:
+        """Drops everything, since a snapshot replaces it.
+
+        Raises:
+            StorageError: If it fails.
+        """
+        for segment in reversed(self._segments):
+            segment.path.unlink()
+        self._segments = []
+        self._entries = []
+        self._start_index = start_index
+        self._start_term = start_term
+        self._close_descriptor()
+        files.sync_folder(self._folder)
+
+    def compact(self, index: int) -> None:
+        """Drops segments that hold nothing after an index."""
+        dropped = False
+        while len(self._segments) > 1:
+            start = self._segments[1].first_index - 1
+            if start > index:
+                break
+            self._segments.pop(0).path.unlink()
+            self._forget_until(start)
+            dropped = True
+        if dropped:
+            files.sync_folder(self._folder)
+
+    def rotate(self) -> None:
+        """Starts a new segment with the next append."""
+        if self._segments and (
+            self._segments[-1].size > files.FILE_HEAD_BYTES
+        ):
+            self._open_segment(self.last_index + 1)
+
+    def close(self) -> None:
+        """Closes the file."""
+        self._close_descriptor()
+
+    def _forget_until(self, index: int) -> None:
+        if index <= self._start_index:
+            return
+        self._start_term = self.term_at(index) or 0
+        del self._entries[: index - self._start_index]
+        self._start_index = index
+
+    def _write(self, segment: _Segment, data: bytes) -> None:
+        view = memoryview(data)
+        try:
+            while view:
+                view = view[os.write(self._descriptor, view) :]
+        except OSError as error:
+            os.ftruncate(self._descriptor, segment.size)
+            os.lseek(self._descriptor, segment.size, os.SEEK_SET)
+            if error.errno in (errno.ENOSPC, errno.EDQUOT):
+                raise errors.DiskFullError(
+                    f'{segment.path}: {error}'
+                ) from error
+            raise errors.StorageError(f'{segment.path}: {error}') from error
+
+    def _writable(self, first_index: int) -> _Segment:
+        if not self._segments:
+            self._open_segment(first_index)
+        elif self._segments[-1].size >= SEGMENT_LIMIT_BYTES:
+            self._open_segment(first_index)
+        return self._segments[-1]
+
+    def _open_segment(self, first_index: int) -> None:
+        path = segment_path(self._folder, first_index)
+        segment = _Segment(path, first_index)
+        self._close_descriptor()
+        try:
+            self._descriptor = os.open(
+                path, os.O_RDWR | os.O_CREAT | os.O_TRUNC, 0o600
+            )
+            self._write(segment, files.file_head(SEGMENT_KIND))
+        except OSError as error:
+            raise errors.DiskFullError(f'{path}: {error}') from error
+        segment.size = files.FILE_HEAD_BYTES
+        self._segments.append(segment)
+        self._sync(self._descriptor)
+        files.sync_folder(self._folder)
+
+    def _reopen(self) -> None:
+        self._close_descriptor()
+        if not self._segments:
+            return
+        segment = self._segments[-1]
+        self._descriptor = os.open(segment.path, os.O_RDWR)
+        os.ftruncate(self._descriptor, segment.size)
+        os.lseek(self._descriptor, segment.size, os.SEEK_SET)
+
+    def _close_descriptor(self) -> None:
+        if self._descriptor >= 0:
+            os.close(self._descriptor)
+            self._descriptor = -1
+
+    def _load(self) -> None:
+        paths = segment_paths(self._folder)
+        for position, path in enumerate(paths):
+            self._load_segment(path, last=position == len(paths) - 1)
+        if self._segments:
+            self._reopen()
+            self.sync()
+
+    def _load_segment(self, path: pathlib.Path, *, last: bool) -> None:
+        first_index = int(path.stem.removeprefix('log-'))
+        if not self._segments and first_index <= self._start_index:
+            # Entries before the snapshot are kept for slow followers.
+            self._start_index = first_index - 1
+            self._start_term = 0
+        segment = _Segment(path, first_index)
+        for entries, end in read_segment(path, last=last):
+            self._load_batch(path, entries, end)
+            segment.size = end
+        if path.stat().st_size < files.FILE_HEAD_BYTES:
+            path.write_bytes(files.file_head(SEGMENT_KIND))
+        self._segments.append(segment)
+
+    def _load_batch(
+        self, path: pathlib.Path, entries: list[ttypes.LogEntry], end: int
+    ) -> None:
+        position = entries[0].index - self._start_index - 1
+        if position > len(self._entries):
+            raise errors.CorruptionError(
+                f'{path}: before byte {end}: got index {entries[0].index};'
+                f' valid are up to {self.last_index + 1}'
+            )
+        if position < 0:
+            entries = entries[-position:]
+            position = 0
+        del self._entries[position:]
+        self._entries.extend(entries)
--- /dev/null
+++ b/banyantrack/testing/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins and builders for tests, the demo and benchmarks."""
--- /dev/null
+++ b/banyantrack/testing/fake_group.py
@@ -0,0 +1,313 @@
+"""Members of a replication group on a fake network and faulty disks.
+
+Everything runs in one kernel in virtual time. Messages are lost, doubled,
+delayed and cut one way or both; disks are slow and lose what was not
+synced when a member crashes.
+"""
+
+from __future__ import annotations
+
+import os
+import pathlib
+import random
+import shutil
+import typing
+
+import curio
+
+from banyantrack.core import codec
+from banyantrack.generated.cluster import ttypes as cluster
+from banyantrack.generated.replication import ttypes
+from banyantrack.replication import api
+from banyantrack.replication import elections
+from banyantrack.replication import replica as replica_module
+from banyantrack.replication import storage as storage_module
+from banyantrack.testing import virtual
+from banyantrack.transport import messages
+from banyantrack.transport import rpc
+
+if typing.TYPE_CHECKING:
+    import collections.abc
+
+DELAY_S = (0.0005, 0.008)
+SLOW_SYNC_S = (0.05, 0.4)
+OPTIONS = api.Options(
+    election_timeout_s=0.3,
+    heartbeat_s=0.08,
+    snapshot_entries=40,
+    snapshot_chunk_bytes=700,
+    append_bytes=4000,
+)
+
+
+class FakeNetwork:
+    """Carries messages between members.
+
+    Args:
+        rng: Source of faults and delays.
+    """
+
+    def __init__(self, rng: random.Random) -> None:
+        self._rng = rng
+        self._members: dict[str, FakeMember] = {}
+        self.cuts: set[tuple[str, str]] = set()
+        self.loss = 0.0
+        self.duplication = 0.0
+        self.extra_delay_s = 0.0
+
+    def attach(self, address: str, member: FakeMember) -> None:
+        """Makes a member reachable."""
+        self._members[address] = member
+
+    def heal(self) -> None:
+        """Ends all faults."""
+        self.cuts.clear()
+        self.loss = 0.0
+        self.duplication = 0.0
+        self.extra_delay_s = 0.0
+
+    async def carry(
+        self, source: str, target: str, request: typing.Any, timeout_s: float
+    ) -> typing.Any:
+        """Carries a request and its reply."""
+        try:
+            async with curio.timeout_after(timeout_s):
+                return await self._carry(source, target, request)
+        except curio.TaskTimeout:
+            raise rpc.TransportError('no reply', sent=True) from None
+
+    async def _carry(
+        self, source: str, target: str, request: typing.Any
+    ) -> typing.Any:
+        data = codec.encode(request)
+        call = messages.BY_REQUEST[type(request)]
+        await self._pass(source, target)
+        if self._rng.random() < self.duplication:
+            await curio.spawn(self._deliver_late, target, call, data)
+        reply = await self._deliver(target, call, data)
+        encoded = codec.encode(reply)
+        await self._pass(target, source)
+        return codec.decode(call.reply, encoded)
+
+    async def _pass(self, source: str, target: str) -> None:
+        await curio.sleep(self._rng.uniform(*DELAY_S) + self.extra_delay_s)
+        lost = self._rng.random() < self.loss
+        if lost or (source, target) in self.cuts:
+            await curio.sleep(1e6)
+
+    async def _deliver(
+        self, target: str, call: messages.CallType, data: bytes
+    ) -> typing.Any:
+        member = self._members.get(target)
+        if member is None or not member.running:
+            raise rpc.TransportError('refused', sent=False)
+        return await member.receive_alone(codec.decode(call.request, data))
+
+    async def _deliver_late(
+        self, target: str, call: messages.CallType, data: bytes
+    ) -> None:
+        await curio.sleep(self._rng.uniform(0, 0.5))
+        try:
+            await self._deliver(target, call, data)
+        except (rpc.TransportError, rpc.CallError):
+            pass
+
+
+class _Link:
+    """Transport of one member."""
+
+    def __init__(self, network: FakeNetwork, address: str) -> None:
+        self._network = network
+        self._address = address
+
+    async def call(
+        self, address: str, request: typing.Any, *, timeout_s: float
+    ) -> typing.Any:
+        """Makes one call; see `api.Transport`."""
+        return await self._network.carry(
+            self._address, address, request, timeout_s
+        )
+
+
+class FakeMember:
+    """A member that can crash, restart and lose its disk.
+
+    Args:
+        name: Its name; its address follows from it.
+        folder: Its data folder.
+        network: The network.
+        machine: Makes an empty state machine.
+        contacts: Addresses of the configured members.
+        rng: Source of faults.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        folder: pathlib.Path,
+        network: FakeNetwork,
+        machine: collections.abc.Callable[[], api.StateMachine],
+        *,
+        contacts: list[str],
+        rng: random.Random,
+        options: api.Options = OPTIONS,
+    ) -> None:
+        self.name = name
+        self.address = address_of(name)
+        self._folder = folder
+        self._network = network
+        self._make_machine = machine
+        self._contacts = contacts
+        self._rng = rng
+        self._options = options
+        self._task: curio.Task | None = None
+        self._replica: replica_module.Replica | None = None
+        self._storage: storage_module.Storage | None = None
+        self._synced: dict[int, int] = {}
+        self._handlers: set[curio.Task] = set()
+        self.slow_disk = False
+        self.full_disk = False
+        self.machine: api.StateMachine | None = None
+        network.attach(self.address, self)
+
+    @property
+    def running(self) -> bool:
+        """Whether it runs."""
+        return self._replica is not None
+
+    @property
+    def replica(self) -> replica_module.Replica:
+        """The running member."""
+        return self._replica
+
+    async def start(self, *, bootstrap: bool = False) -> None:
+        """Starts it on what its folder holds."""
+        storage = storage_module.Storage(
+            self._folder, self.name, sync=self._sync
+        )
+        self._storage = storage
+        self.machine = self._make_machine()
+        member = ttypes.Member(
+            member_id='',
+            name=self.name,
+            address=self.address,
+            service_address=self.address,
+        )
+        self._replica = replica_module.Replica(
+            member,
+            storage,
+            self.machine,
+            _Link(self._network, self.address),
+            options=self._options,
+            contacts=self._contacts,
+            rng=random.Random(self._rng.random()),
+            run_blocking=self._run_blocking,
+        )
+        if bootstrap:
+            await self._replica.bootstrap()
+        self._task = await curio.spawn(self._replica.run)
+
+    async def stop(self, *, crash: bool = True, wipe: bool = False) -> None:
+        """Stops it.
+
+        Args:
+            crash: Whether what was not synced is lost.
+            wipe: Whether the folder is lost.
+
+        Raises:
+            BanyanError: If the member had failed.
+        """
+        if self._replica is None:
+            return
+        self._replica = None
+        task, self._task = self._task, None
+        await task.cancel()
+        for handler in list(self._handlers):
+            await handler.cancel()
+        failed = isinstance(task.exception, Exception) and not isinstance(
+            task.exception, curio.CancelledError
+        )
+        self._storage.close()
+        if crash:
+            self._lose_unsynced()
+        if wipe:
+            shutil.rmtree(self._folder)
+        if failed:
+            raise task.exception
+
+    async def receive_alone(self, request: typing.Any) -> typing.Any:
+        """Answers a request in a task that ends with this member only."""
+        outcome: list[typing.Any] = []
+        done = curio.Event()
+        task = await curio.spawn(
+            self._receive_into, request, outcome, done, daemon=True
+        )
+        self._handlers.add(task)
+        await done.wait()
+        self._handlers.discard(task)
+        if not outcome:
+            raise rpc.TransportError('connection lost', sent=True)
+        if isinstance(outcome[0], rpc.CallError):
+            raise outcome[0]
+        return outcome[0]
+
+    async def _receive_into(
+        self,
+        request: typing.Any,
+        outcome: list[typing.Any],
+        done: curio.Event,
+    ) -> None:
+        try:
+            outcome.append(await self._receive(request))
+        except rpc.CallError as error:
+            outcome.append(error)
+        finally:
+            async with curio.disable_cancellation():
+                await done.set()
+
+    async def _receive(self, request: typing.Any) -> typing.Any:
+        member = self._replica
+        try:
+            match request:
+                case ttypes.VoteRequest():
+                    return await elections.receive_vote(member, request)
+                case ttypes.HandOverRequest():
+                    return await elections.receive_hand_over(member, request)
+                case ttypes.AppendRequest():
+                    return await member.receive_append(request)
+                case ttypes.SnapshotRequest():
+                    return await member.receive_snapshot(request)
+                case ttypes.JoinRequest():
+                    return await member.receive_join(request)
+        except Exception as error:
+            await member.fail(error)
+            raise rpc.CallError(
+                cluster.ErrorCode.UNAVAILABLE, str(error)
+            ) from error
+        raise rpc.CallError(cluster.ErrorCode.BAD_MESSAGE, 'unknown')
+
+    def _sync(self, descriptor: int) -> None:
+        state = os.fstat(descriptor)
+        self._synced[state.st_ino] = state.st_size
+
+    async def _run_blocking(
+        self,
+        function: collections.abc.Callable[..., typing.Any],
+        *args: object,
+    ) -> typing.Any:
+        if self.slow_disk:
+            await curio.sleep(self._rng.uniform(*SLOW_SYNC_S))
+        return await virtual.run_blocking(function, *args)
+
+    def _lose_unsynced(self) -> None:
+        for path in self._folder.glob('log-*.wal'):
+            state = path.stat()
+            synced = self._synced.get(state.st_ino, state.st_size)
+            if state.st_size > synced:
+                kept = self._rng.randint(synced, state.st_size)
+                os.truncate(path, kept)
+
+
+def address_of(name: str) -> str:
+    """Returns the address of a fake member."""
+    return f'10.0.0.{name.removeprefix("m")}:1'
--- /dev/null
+++ b/banyantrack/testing/virtual.py
@@ -0,0 +1,86 @@
+"""Virtual time for curio: sleeping costs nothing and runs repeat exactly."""
+
+from __future__ import annotations
+
+import collections.abc
+import contextlib
+import selectors
+import time
+import typing
+from unittest import mock
+
+import curio
+
+START_S = 1_000.0
+# Each turn of the event loop takes some time, as it does in reality.
+TURN_S = 1e-6
+
+
+class VirtualClock:
+    """Time that passes only while all tasks sleep."""
+
+    def __init__(self) -> None:
+        self._now_s = START_S
+
+    def monotonic(self) -> float:
+        """Returns the virtual time in seconds."""
+        return self._now_s
+
+    def advance(self, seconds: float) -> None:
+        """Lets time pass."""
+        self._now_s += seconds
+
+
+class _VirtualSelector(selectors.DefaultSelector):
+    """Advances a clock instead of waiting."""
+
+    def __init__(self, clock: VirtualClock) -> None:
+        super().__init__()
+        self._clock = clock
+
+    def select(
+        self, timeout: float | None = None
+    ) -> list[tuple[selectors.SelectorKey, int]]:
+        ready = super().select(0)
+        if timeout is None and not ready:
+            raise RuntimeError('all tasks wait for each other')
+        self._clock.advance(TURN_S if ready else max(timeout, TURN_S))
+        return ready
+
+
+@contextlib.contextmanager
+def _patched(clock: VirtualClock) -> collections.abc.Iterator[None]:
+    with (
+        mock.patch.object(time, 'monotonic', clock.monotonic),
+        mock.patch.object(time, 'time', clock.monotonic),
+    ):
+        yield
+
+
+def run(
+    main: collections.abc.Callable[..., typing.Any], *args: object
+) -> typing.Any:
+    """Runs a coroutine function to its end in virtual time.
+
+    Args:
+        main: The coroutine function.
+        *args: Its arguments.
+
+    Returns:
+        What it returned.
+    """
+    clock = VirtualClock()
+    with _patched(clock):
+        kernel = curio.Kernel(selector=_VirtualSelector(clock))
+        try:
+            return kernel.run(main, *args)
+        finally:
+            kernel.run(shutdown=True)
+
+
+async def run_blocking(
+    function: collections.abc.Callable[..., typing.Any], *args: object
+) -> typing.Any:
+    """Runs a blocking function in place, since threads have real time."""
+    await curio.sleep(0)
+    return function(*args)
--- /dev/null
+++ b/banyantrack/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of this package."""
--- /dev/null
+++ b/banyantrack/transport/__init__.py
@@ -0,0 +1,1 @@
+"""Connections: RPC between own processes, HTTP to everyone else."""
--- /dev/null
+++ b/banyantrack/transport/addresses.py
@@ -0,0 +1,31 @@
+"""Addresses of the form `IP:PORT`."""
+
+from __future__ import annotations
+
+import socket
+import typing
+
+
+class Address(typing.NamedTuple):
+    """Host and port as socket functions take them."""
+
+    host: str
+    port: int
+
+    @property
+    def family(self) -> socket.AddressFamily:
+        """Address family of the host."""
+        return socket.AF_INET6 if ':' in self.host else socket.AF_INET
+
+
+def parse(text: str) -> Address:
+    """Parses `IP:PORT`.
+
+    Args:
+        text: The address; an IPv6 number stands in brackets.
+
+    Raises:
+        ValueError: If there is no port number.
+    """
+    host, _, port = text.rpartition(':')
+    return Address(host.strip('[]'), int(port))
--- /dev/null
+++ b/banyantrack/transport/http_client.py
@@ -0,0 +1,157 @@
+"""HTTP client for whole answers, used towards control and by tools.
+
+The dispatcher has its own attempts on `http.Connection`, since what it may
+conclude from a failure depends on what was sent.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+import typing
+
+import curio
+import h11
+
+from banyantrack.core import errors
+from banyantrack.transport import http
+from banyantrack.transport import rpc
+
+ANSWER_LIMIT_BYTES = 64 * 1024 * 1024
+
+
+class HttpError(errors.BanyanError):
+    """No whole answer came.
+
+    Attributes:
+        sent: Whether any byte of the request may have been read.
+    """
+
+    def __init__(self, message: str, *, sent: bool) -> None:
+        super().__init__(message)
+        self.sent = sent
+
+
+@dataclasses.dataclass(slots=True)
+class Answer:
+    """A whole answer.
+
+    Attributes:
+        status: Status code.
+        headers: Headers, with names in lower case.
+        body: The body.
+    """
+
+    status: int
+    headers: http.Headers
+    body: bytes
+
+    def header(self, name: str) -> str | None:
+        """Returns the first header of a name in lower case."""
+        value = http.header(self.headers, name.encode())
+        return None if value is None else value.decode('latin-1')
+
+
+class HttpClient:
+    """Sends requests to one address over one kept connection.
+
+    Args:
+        address: `IP:PORT`.
+    """
+
+    def __init__(self, address: str) -> None:
+        self._address = address
+        self._connection: http.Connection | None = None
+
+    async def request(
+        self,
+        method: str,
+        target: str,
+        *,
+        headers: typing.Sequence[tuple[str, str]] = (),
+        body: bytes = b'',
+        timeout_s: float = 10.0,
+    ) -> Answer:
+        """Sends one request and reads the whole answer.
+
+        Raises:
+            HttpError: If no whole answer came in time.
+        """
+        sent = False
+        try:
+            async with curio.timeout_after(timeout_s):
+                connection = await self._connect(timeout_s)
+                sent = True
+                await self._send(connection, method, target, headers, body)
+                answer = await self._receive(connection)
+        except curio.TaskTimeout:
+            await self.close()
+            raise HttpError(
+                f'{self._address}: no answer in {timeout_s:.3f} s', sent=sent
+            ) from None
+        except (
+            OSError,
+            http.ProtocolError,
+            http.ClosedError,
+            http.BodyTooLargeError,
+        ) as error:
+            await self.close()
+            raise HttpError(f'{self._address}: {error}', sent=sent) from error
+        except BaseException:
+            await self.close()
+            raise
+        await self._recycle(connection)
+        return answer
+
+    async def close(self) -> None:
+        """Closes the connection."""
+        connection, self._connection = self._connection, None
+        if connection is not None:
+            await connection.close()
+
+    async def _connect(self, timeout_s: float) -> http.Connection:
+        if self._connection is not None:
+            if self._connection.looks_quiet():
+                return self._connection
+            await self.close()
+        sock = await rpc.connect(self._address, timeout_s=timeout_s)
+        self._connection = http.Connection(sock, h11.CLIENT)
+        return self._connection
+
+    async def _send(
+        self,
+        connection: http.Connection,
+        method: str,
+        target: str,
+        headers: typing.Sequence[tuple[str, str]],
+        body: bytes,
+    ) -> None:
+        events = [
+            h11.Request(
+                method=method,
+                target=target,
+                headers=[
+                    ('host', self._address),
+                    ('content-length', str(len(body))),
+                    *headers,
+                ],
+            )
+        ]
+        if body:
+            events.append(h11.Data(data=body))
+        await connection.send_all(*events, h11.EndOfMessage())
+
+    async def _receive(self, connection: http.Connection) -> Answer:
+        head = await connection.receive()
+        while isinstance(head, h11.InformationalResponse):
+            head = await connection.receive()
+        if not isinstance(head, h11.Response):
+            raise http.ClosedError('closed before an answer')
+        body = await http.read_body(connection.receive, ANSWER_LIMIT_BYTES)
+        return Answer(head.status_code, head.headers, body)
+
+    async def _recycle(self, connection: http.Connection) -> None:
+        state = connection.state
+        if state.our_state is h11.DONE and state.their_state is h11.DONE:
+            state.start_next_cycle()
+        else:
+            await self.close()
--- /dev/null
+++ b/banyantrack/transport/listener.py
@@ -0,0 +1,137 @@
+"""Accepts connections and runs one task for each."""
+
+from __future__ import annotations
+
+import collections.abc
+import errno
+import logging
+import socket
+
+import curio
+from curio import io
+
+from banyantrack.core import logs
+from banyantrack.transport import addresses
+
+BACKLOG = 1024
+# Accepting fails for a moment when descriptors or buffers run out.
+RETRY_S = 0.1
+_TRANSIENT = {
+    errno.EMFILE,
+    errno.ENFILE,
+    errno.ENOBUFS,
+    errno.ENOMEM,
+    errno.ECONNABORTED,
+}
+_LOG = logging.getLogger(__name__)
+
+ConnectionHandler = collections.abc.Callable[
+    [io.Socket], collections.abc.Awaitable[None]
+]
+
+
+def open_listener(address: str) -> io.Socket:
+    """Binds and listens.
+
+    Args:
+        address: `IP:PORT`.
+
+    Raises:
+        OSError: If the address cannot be bound.
+    """
+    parsed = addresses.parse(address)
+    raw = socket.socket(parsed.family, socket.SOCK_STREAM)
+    try:
+        raw.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        raw.bind(parsed)
+        raw.listen(BACKLOG)
+        raw.setblocking(False)
+    except OSError:
+        raw.close()
+        raise
+    return io.Socket(raw)
+
+
+class Listener:
+    """Runs one task for each accepted connection.
+
+    Args:
+        address: `IP:PORT` to listen on.
+        handler: Serves one connection; the socket is closed after it.
+        limit: Most connections at once; further ones wait in the backlog.
+    """
+
+    def __init__(
+        self,
+        address: str,
+        handler: ConnectionHandler,
+        *,
+        limit: int = 10_000,
+    ) -> None:
+        self._address = address
+        self._handler = handler
+        self._limit = limit
+        self._socket = open_listener(address)
+        self._tasks: set[curio.Task] = set()
+        self._room = curio.Event()
+        self._accept_task: curio.Task | None = None
+
+    @property
+    def connections(self) -> int:
+        """Connections that are open now."""
+        return len(self._tasks)
+
+    async def start(self) -> None:
+        """Starts to accept."""
+        self._accept_task = await curio.spawn(self._accept, daemon=True)
+
+    async def stop_accepting(self) -> None:
+        """Stops accepting; open connections go on."""
+        if self._accept_task is not None:
+            await self._accept_task.cancel()
+            self._accept_task = None
+        await self._socket.close()
+
+    async def close(self) -> None:
+        """Stops accepting and ends all connections."""
+        await self.stop_accepting()
+        for task in list(self._tasks):
+            await task.cancel(blocking=False)
+        for task in list(self._tasks):
+            await task.wait()
+
+    async def _accept(self) -> None:
+        while True:
+            while len(self._tasks) >= self._limit:
+                self._room.clear()
+                await self._room.wait()
+            try:
+                client, _ = await self._socket.accept()
+            except OSError as error:
+                if error.errno not in _TRANSIENT:
+                    raise
+                logs.event(
+                    _LOG,
+                    'accept_failed',
+                    level=logging.WARNING,
+                    address=self._address,
+                    error=error,
+                )
+                await curio.sleep(RETRY_S)
+                continue
+            client.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            await curio.spawn(self._serve, client, daemon=True)
+
+    async def _serve(self, client: io.Socket) -> None:
+        task = await curio.current_task()
+        self._tasks.add(task)
+        try:
+            await self._handler(client)
+        except OSError as error:
+            logs.event(
+                _LOG, 'connection_lost', level=logging.DEBUG, error=error
+            )
+        finally:
+            self._tasks.discard(task)
+            await client.close()
+            await self._room.set()
--- /dev/null
+++ b/banyantrack/transport/rpc.py
@@ -0,0 +1,453 @@
+"""Framed thrift calls between the system's own processes.
+
+A frame is a length of four bytes, most significant first, and a `Frame`
+struct. Calls on one connection are matched to replies by their id, so a
+late reply never meets another call.
+"""
+
+from __future__ import annotations
+
+import collections.abc
+import itertools
+import logging
+import socket
+import struct
+import typing
+
+import curio
+from curio import io
+
+from banyantrack.core import codec
+from banyantrack.core import errors
+from banyantrack.core import logs
+from banyantrack.generated.cluster import constants
+from banyantrack.generated.cluster import ttypes as cluster
+from banyantrack.transport import addresses
+from banyantrack.transport import listener
+from banyantrack.transport import messages
+
+FRAME_LIMIT_BYTES = 16 * 1024 * 1024
+CONNECT_TIMEOUT_S = 1.0
+# The kernel closes a connection whose bytes stay unacknowledged this long.
+UNACKNOWLEDGED_TIMEOUT_MS = 3000
+_LENGTH = struct.Struct('>I')
+_LOG = logging.getLogger(__name__)
+
+Handler = collections.abc.Callable[
+    [typing.Any], collections.abc.Awaitable[typing.Any]
+]
+
+
+class TransportError(errors.BanyanError):
+    """A call got no reply.
+
+    Attributes:
+        sent: Whether any byte of the request may have reached the peer.
+    """
+
+    def __init__(self, message: str, *, sent: bool) -> None:
+        super().__init__(message)
+        self.sent = sent
+
+
+class CallError(errors.BanyanError):
+    """The peer answered a call with an error.
+
+    Attributes:
+        code: Its code.
+        leader_address: Where the leader is, if the peer knows.
+    """
+
+    def __init__(
+        self,
+        code: int,
+        message: str,
+        *,
+        leader_address: str = '',
+    ) -> None:
+        super().__init__(message)
+        self.code = code
+        self.leader_address = leader_address
+
+
+class FrameError(errors.BanyanError):
+    """Bytes on a connection are no frame of this protocol."""
+
+
+class FrameStream:
+    """Reads and writes frames on one socket.
+
+    Args:
+        sock: A connected socket.
+    """
+
+    def __init__(self, sock: io.Socket) -> None:
+        self._socket = sock
+        self._buffer = bytearray()
+        self._write_lock = curio.Lock()
+        self._writing = False
+
+    async def read(self) -> cluster.Frame | None:
+        """Returns the next frame, or None at the end of the stream.
+
+        Raises:
+            FrameError: If the bytes are no frame.
+            OSError: If the connection fails.
+        """
+        head = await self._read_exactly(_LENGTH.size)
+        if head is None:
+            return None
+        (length,) = _LENGTH.unpack(head)
+        if length > FRAME_LIMIT_BYTES:
+            raise FrameError(
+                f'got a frame of {length} bytes;'
+                f' valid are at most {FRAME_LIMIT_BYTES}'
+            )
+        data = await self._read_exactly(length)
+        if data is None:
+            raise FrameError('the stream ended within a frame')
+        try:
+            frame = codec.decode(cluster.Frame, data)
+        except codec.DecodeError as error:
+            raise FrameError(str(error)) from error
+        if frame.version != constants.PROTOCOL_VERSION:
+            raise FrameError(
+                f'got protocol version {frame.version};'
+                f' valid is {constants.PROTOCOL_VERSION}'
+            )
+        return frame
+
+    async def write(self, frame: cluster.Frame) -> None:
+        """Writes a frame.
+
+        Raises:
+            OSError: If the connection fails.
+        """
+        data = codec.encode(frame)
+        async with self._write_lock:
+            if self._writing:
+                # A cancelled task left a part of its frame behind.
+                raise ConnectionError('the stream holds a cut frame')
+            self._writing = True
+            await self._socket.sendall(_LENGTH.pack(len(data)) + data)
+            self._writing = False
+
+    async def close(self) -> None:
+        """Closes the socket."""
+        await self._socket.close()
+
+    async def _read_exactly(self, size: int) -> bytes | None:
+        while len(self._buffer) < size:
+            data = await self._socket.recv(65536)
+            if not data:
+                if self._buffer:
+                    raise FrameError('the stream ended within a frame')
+                return None
+            self._buffer += data
+        data = bytes(self._buffer[:size])
+        del self._buffer[:size]
+        return data
+
+
+def _frame(
+    kind: messages.MessageKind, call_id: int, reply: bool, body: object
+) -> cluster.Frame:
+    return cluster.Frame(
+        version=constants.PROTOCOL_VERSION,
+        kind=int(kind),
+        call_id=call_id,
+        reply=reply,
+        payload=codec.encode(body),
+    )
+
+
+class RpcServer:
+    """Answers calls.
+
+    Calls of one connection are answered in order, unless their handler is
+    registered as concurrent.
+
+    Args:
+        address: `IP:PORT` to listen on.
+    """
+
+    def __init__(self, address: str) -> None:
+        self._handlers: dict[int, tuple[Handler, bool]] = {}
+        self._listener = listener.Listener(address, self._serve)
+
+    def handle(
+        self, request: type, handler: Handler, *, concurrent: bool = False
+    ) -> None:
+        """Registers the handler of a request type.
+
+        Args:
+            request: Struct type of the request.
+            handler: Returns the reply; raises `CallError` to refuse.
+            concurrent: Whether each call has a task of its own.
+        """
+        kind = int(messages.BY_REQUEST[request].kind)
+        self._handlers[kind] = (handler, concurrent)
+
+    async def start(self) -> None:
+        """Starts to accept connections."""
+        await self._listener.start()
+
+    async def close(self) -> None:
+        """Ends all connections."""
+        await self._listener.close()
+
+    async def _serve(self, client: io.Socket) -> None:
+        stream = FrameStream(client)
+        try:
+            while (frame := await stream.read()) is not None:
+                await self._dispatch(stream, frame)
+        except FrameError as error:
+            logs.event(
+                _LOG, 'bad_frame', level=logging.WARNING, error=error
+            )
+
+    async def _dispatch(
+        self, stream: FrameStream, frame: cluster.Frame
+    ) -> None:
+        if frame.reply or frame.kind not in self._handlers:
+            raise FrameError(f'got message kind {frame.kind}')
+        handler, concurrent = self._handlers[frame.kind]
+        if concurrent:
+            await curio.spawn(
+                self._answer_alone, stream, frame, handler, daemon=True
+            )
+        else:
+            await self._answer(stream, frame, handler)
+
+    async def _answer_alone(
+        self, stream: FrameStream, frame: cluster.Frame, handler: Handler
+    ) -> None:
+        try:
+            await self._answer(stream, frame, handler)
+        except (OSError, FrameError) as error:
+            logs.event(
+                _LOG, 'reply_lost', level=logging.DEBUG, error=error
+            )
+
+    async def _answer(
+        self, stream: FrameStream, frame: cluster.Frame, handler: Handler
+    ) -> None:
+        call = messages.BY_KIND[frame.kind]
+        try:
+            request = codec.decode(call.request, frame.payload)
+            reply = await handler(request)
+            kind = call.kind
+        except codec.DecodeError as error:
+            raise FrameError(str(error)) from error
+        except CallError as error:
+            kind = messages.MessageKind.ERROR
+            reply = cluster.ErrorReply(
+                code=error.code,
+                message=str(error),
+                leader_address=error.leader_address,
+            )
+        await stream.write(_frame(kind, frame.call_id, True, reply))
+
+
+class _Pending:
+    """One call that waits for its reply."""
+
+    __slots__ = ('event', 'frame')
+
+    def __init__(self) -> None:
+        self.event = curio.Event()
+        self.frame: cluster.Frame | None = None
+
+
+class RpcClient:
+    """Calls one peer over one connection, opened when needed.
+
+    A call that times out closes the connection, since something between
+    the two ends may have lost track of it; the next call opens a new one.
+
+    Args:
+        address: `IP:PORT` of the peer.
+    """
+
+    def __init__(self, address: str) -> None:
+        self._address = address
+        self._stream: FrameStream | None = None
+        self._reader: curio.Task | None = None
+        self._pending: dict[int, _Pending] = {}
+        self._ids = itertools.count(1)
+        self._connect_lock = curio.Lock()
+
+    @property
+    def address(self) -> str:
+        """Address of the peer."""
+        return self._address
+
+    async def call(
+        self, request: typing.Any, *, timeout_s: float
+    ) -> typing.Any:
+        """Makes one call.
+
+        Args:
+            request: Request struct.
+            timeout_s: Seconds until the call is given up.
+
+        Returns:
+            The reply struct.
+
+        Raises:
+            TransportError: If no reply came.
+            CallError: If the peer refused.
+        """
+        call = messages.BY_REQUEST[type(request)]
+        sent = False
+        pending = _Pending()
+        call_id = next(self._ids)
+        try:
+            async with curio.timeout_after(timeout_s):
+                stream = await self._connected()
+                self._pending[call_id] = pending
+                sent = True
+                await stream.write(_frame(call.kind, call_id, False, request))
+                await pending.event.wait()
+        except curio.TaskTimeout:
+            await self.close()
+            raise TransportError(
+                f'{self._address}: no reply in {timeout_s:.3f} s', sent=sent
+            ) from None
+        except OSError as error:
+            await self.close()
+            raise TransportError(
+                f'{self._address}: {error}', sent=sent
+            ) from error
+        finally:
+            self._pending.pop(call_id, None)
+        if pending.frame is None:
+            raise TransportError(
+                f'{self._address}: connection closed', sent=True
+            )
+        return self._result(call, pending.frame)
+
+    async def close(self) -> None:
+        """Closes the connection; calls in progress fail."""
+        stream, self._stream = self._stream, None
+        reader, self._reader = self._reader, None
+        if reader is not None:
+            await reader.cancel(blocking=False)
+        if stream is not None:
+            await stream.close()
+        await self._fail_pending()
+
+    def _result(
+        self, call: messages.CallType, frame: cluster.Frame
+    ) -> typing.Any:
+        try:
+            if frame.kind == messages.MessageKind.ERROR:
+                error = codec.decode(cluster.ErrorReply, frame.payload)
+                raise CallError(
+                    error.code,
+                    error.message,
+                    leader_address=error.leader_address,
+                )
+            if frame.kind != call.kind:
+                raise TransportError(
+                    f'{self._address}: reply of kind {frame.kind}', sent=True
+                )
+            return codec.decode(call.reply, frame.payload)
+        except codec.DecodeError as error:
+            raise TransportError(
+                f'{self._address}: {error}', sent=True
+            ) from error
+
+    async def _connected(self) -> FrameStream:
+        async with self._connect_lock:
+            if self._stream is None:
+                sock = await connect(
+                    self._address, timeout_s=CONNECT_TIMEOUT_S
+                )
+                self._stream = FrameStream(sock)
+                self._reader = await curio.spawn(
+                    self._read_replies, self._stream, daemon=True
+                )
+            return self._stream
+
+    async def _read_replies(self, stream: FrameStream) -> None:
+        try:
+            while (frame := await stream.read()) is not None:
+                pending = self._pending.pop(frame.call_id, None)
+                if pending is not None:
+                    pending.frame = frame
+                    await pending.event.set()
+        except (OSError, FrameError) as error:
+            logs.event(
+                _LOG,
+                'peer_connection_lost',
+                level=logging.DEBUG,
+                peer=self._address,
+                error=error,
+            )
+        if self._stream is stream:
+            self._stream = None
+            self._reader = None
+            await stream.close()
+            await self._fail_pending()
+
+    async def _fail_pending(self) -> None:
+        pending = list(self._pending.values())
+        self._pending.clear()
+        for call in pending:
+            await call.event.set()
+
+
+async def connect(address: str, *, timeout_s: float) -> io.Socket:
+    """Opens a TCP connection.
+
+    Args:
+        address: `IP:PORT`.
+        timeout_s: Seconds until the attempt is given up.
+
+    Raises:
+        OSError: If there is no connection; `TimeoutError` after the time.
+    """
+    parsed = addresses.parse(address)
+    raw = socket.socket(parsed.family, socket.SOCK_STREAM)
+    raw.setblocking(False)
+    raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    raw.setsockopt(
+        socket.IPPROTO_TCP,
+        socket.TCP_USER_TIMEOUT,
+        UNACKNOWLEDGED_TIMEOUT_MS,
+    )
+    sock = io.Socket(raw)
+    try:
+        async with curio.timeout_after(timeout_s):
+            await sock.connect(parsed)
+    except curio.TaskTimeout:
+        await sock.close()
+        raise TimeoutError(
+            f'{address}: no connection in {timeout_s:.3f} s'
+        ) from None
+    except BaseException:
+        await sock.close()
+        raise
+    return sock
+
+
+class RpcPool:
+    """Clients by address."""
+
+    def __init__(self) -> None:
+        self._clients: dict[str, RpcClient] = {}
+
+    async def call(
+        self, address: str, request: typing.Any, *, timeout_s: float
+    ) -> typing.Any:
+        """Makes one call to an address; see `RpcClient.call`."""
+        client = self._clients.get(address)
+        if client is None:
+            client = self._clients[address] = RpcClient(address)
+        return await client.call(request, timeout_s=timeout_s)
+
+    async def close(self) -> None:
+        """Closes all connections."""
+        for client in list(self._clients.values()):
+            await client.close()
--- /dev/null
+++ b/schema/settings.thrift
@@ -0,0 +1,148 @@
+// Settings of the daemons. Annotations bound what a file may say:
+// min, max, default, choices, form (address, zone, name, folder).
+namespace py banyantrack.generated.settings
+
+// One member of the control group.
+struct ControlMember {
+  // Name of the member, unique in the group.
+  1: required string name (form = "name")
+  // Address of its RPC port, as IP:PORT.
+  2: required string address (form = "address")
+}
+
+// Replicated log and its files.
+struct ReplicationSettings {
+  // Shortest time without a leader before an election starts.
+  1: optional i32 election_timeout_ms (default = "500", min = "50", max = "60000")
+  // Longest time between two messages from the leader to a follower.
+  2: optional i32 heartbeat_ms (default = "120", min = "10", max = "10000")
+  // Entries kept in the log before a snapshot replaces them.
+  3: optional i32 snapshot_entries (default = "5000", min = "10", max = "1000000")
+  // Bytes of a snapshot sent in one message.
+  4: optional i32 snapshot_chunk_bytes (default = "65536", min = "1024", max = "4194304")
+  // Bytes of entries sent in one message.
+  5: optional i32 append_bytes (default = "262144", min = "1024", max = "4194304")
+  // Whether proposals that wait together are synced together.
+  6: optional bool group_commit (default = "true")
+}
+
+// Placement of jobs.
+struct PlacementSettings {
+  // Time that a worker may run tasks without renewing its lease.
+  1: optional i32 lease_ms (default = "3000", min = "200", max = "600000")
+  // Longest time that a worker's report is held open for commands.
+  2: optional i32 report_wait_ms (default = "1000", min = "50", max = "300000")
+  // Time that a task is given to write a checkpoint before it is stopped.
+  3: optional i32 checkpoint_grace_ms (default = "1500", min = "0", max = "600000")
+  // Time between two placement rounds when nothing else starts one.
+  4: optional i32 round_ms (default = "500", min = "10", max = "60000")
+  // Selector that every job and guarantee has besides its own.
+  5: optional string default_selector (default = "!down")
+  // Placement score by name.
+  6: optional string score (default = "adjacent")
+  // Victim choice by name.
+  7: optional string victims (default = "least-loss")
+  // Queue order by name.
+  8: optional string queue (default = "aged-shortest")
+}
+
+// Log lines.
+struct LoggingSettings {
+  // Least severe level that is written.
+  1: optional string level (default = "info", choices = "debug,info,warning,error")
+  // File to append to; empty for standard error.
+  2: optional string file (default = "")
+}
+
+// An operator's token, given as the SHA-256 digest of its text.
+struct Token {
+  // Name that appears in the log.
+  1: required string name (form = "name")
+  // SHA-256 digest in hexadecimal.
+  2: required string sha256 (form = "sha256")
+  // What its holder may do.
+  3: required string role (choices = "operator,monitoring,read-only")
+}
+
+// Settings of banyan-control.
+struct ControlSettings {
+  // Name of this member, one of `members` unless it joins later.
+  1: required string name (form = "name")
+  // Availability zone of this host.
+  2: required string zone (form = "name")
+  // RPC address, as IP:PORT.
+  3: required string rpc_address (form = "address")
+  // HTTP address for workers and operators, as IP:PORT.
+  4: required string http_address (form = "address")
+  // Folder of the durable state.
+  5: required string data_folder (form = "folder")
+  // First members of the group.
+  6: required list<ControlMember> members (min = "1", max = "7")
+  // Replicated log.
+  7: optional ReplicationSettings replication
+  // Placement of jobs.
+  8: optional PlacementSettings placement
+  // Log lines.
+  9: optional LoggingSettings logging
+  // Operators' tokens; required off loopback.
+  10: optional list<Token> tokens
+}
+
+// Limits of requests.
+struct DispatchSettings {
+  // Balancing policy by name.
+  1: optional string balancer (default = "least-expected-wait")
+  // Requests that may wait in all, besides the limits of routes.
+  2: optional i32 queue_limit (default = "512", min = "1", max = "100000")
+  // Share of a backend's slots that only quick requests may use.
+  3: optional double quick_reserve (default = "0.25", min = "0", max = "1")
+  // Share of first attempts that may be retried or hedged.
+  4: optional double retry_budget (default = "0.1", min = "0", max = "1")
+  // Largest body that is kept for a retry.
+  5: optional i32 replay_bytes (default = "65536", min = "0", max = "16777216")
+  // Largest body that a caller may send.
+  6: optional i64 body_limit_bytes (default = "1073741824", min = "1", max = "1099511627776")
+  // Longest idle time of a connection that is used again.
+  7: optional i32 connection_idle_ms (default = "4000", min = "1", max = "600000")
+  // Connections to one backend from all entries together.
+  8: optional i32 backend_connections (default = "60", min = "1", max = "10000")
+  // Longest time for a caller to send its next bytes.
+  9: optional i32 caller_timeout_ms (default = "10000", min = "10", max = "600000")
+  // Longest time to open a connection to a backend.
+  10: optional i32 connect_timeout_ms (default = "1000", min = "10", max = "60000")
+  // Time after which a backend that has stopped announcing is used last.
+  11: optional i32 announcement_lapse_ms (default = "15000", min = "100", max = "3600000")
+  // Time without news of control or of any peer after which requests are
+  // refused, when some process is known to be reachable elsewhere.
+  12: optional i32 isolation_ms (default = "6000", min = "100", max = "3600000")
+  // Callers' connections that are open at once.
+  13: optional i32 caller_connections (default = "2000", min = "1", max = "100000")
+  // Largest answer that is recorded for a claimed request.
+  14: optional i32 claim_answer_bytes (default = "16384", min = "0", max = "1048576")
+  // Time that a planned stop waits for requests in flight.
+  15: optional i32 stop_grace_ms (default = "60000", min = "0", max = "3600000")
+}
+
+// Settings of banyan-entry.
+struct EntrySettings {
+  // Name of this entry, unique in the system.
+  1: required string name (form = "name")
+  // Availability zone of this host.
+  2: required string zone (form = "name")
+  // HTTP address for callers, backends and operators, as IP:PORT.
+  3: required string http_address (form = "address")
+  // RPC address for other entries, as IP:PORT.
+  4: required string rpc_address (form = "address")
+  // RPC addresses of control members.
+  5: required list<string> control (form = "address", min = "1", max = "7")
+  // RPC addresses of other entries that are asked first.
+  6: optional list<string> peers (form = "address")
+  // Time between two gossip messages.
+  7: optional i32 gossip_ms (default = "250", min = "10", max = "60000")
+  // Limits of requests.
+  8: optional DispatchSettings dispatch
+  // Log lines.
+  9: optional LoggingSettings logging
+  // Operators' tokens; required off loopback.
+  10: optional list<Token> tokens
+}
