--- /dev/null
+++ b/banyantrack/cli/__init__.py
@@ -0,0 +1,1 @@
+"""Command lines."""
--- /dev/null
+++ b/banyantrack/cli/daemon.py
@@ -0,0 +1,111 @@
+"""What the command lines of both daemons share."""
+
+from __future__ import annotations
+
+import argparse
+import collections.abc
+import contextlib
+import logging
+import pathlib
+import signal
+import socket
+import sys
+import types
+import typing
+
+import curio
+from curio import io
+
+from banyantrack.core import errors
+from banyantrack.core import findings
+from banyantrack.core import logs
+from banyantrack.core import states
+
+Exit = states.ExitCode
+_LOG = logging.getLogger(__name__)
+
+
+class Daemon(typing.Protocol):
+    """What runs until it is asked to stop."""
+
+    async def run(self, stop: curio.Event) -> None:
+        """Runs until the event is set."""
+
+
+def add_options(parser: argparse.ArgumentParser) -> None:
+    """Adds the options that both daemons have."""
+    parser.add_argument(
+        '--config',
+        type=pathlib.Path,
+        required=True,
+        metavar='FILE',
+        help='settings in YAML',
+    )
+    parser.add_argument(
+        '--check',
+        action='store_true',
+        help='report everything wrong with the settings and start nothing',
+    )
+
+
+def load(
+    load_settings: collections.abc.Callable[[pathlib.Path], typing.Any],
+    path: pathlib.Path,
+) -> typing.Any:
+    """Loads settings, or prints all findings and exits."""
+    try:
+        return load_settings(path)
+    except findings.FindingsError as error:
+        for finding in error.findings:
+            print(finding, file=sys.stderr)
+        raise SystemExit(Exit.BAD_INPUT) from None
+
+
+def run(make: collections.abc.Callable[[], Daemon]) -> int:
+    """Runs a daemon until SIGTERM or SIGINT.
+
+    Args:
+        make: Makes the daemon.
+
+    Returns:
+        The exit code.
+    """
+    try:
+        curio.run(_run, make)
+    except (errors.BanyanError, OSError, ExceptionGroup) as error:
+        logs.event(
+            _LOG,
+            'failed',
+            level=logging.CRITICAL,
+            type=type(error).__name__,
+            error=error,
+        )
+        return Exit.REFUSED
+    return Exit.DONE
+
+
+async def _run(make: collections.abc.Callable[[], Daemon]) -> None:
+    stop = curio.Event()
+    daemon = make()
+    watcher = await curio.spawn(_watch_signals, stop, daemon=True)
+    try:
+        await daemon.run(stop)
+    finally:
+        await watcher.cancel()
+
+
+async def _watch_signals(stop: curio.Event) -> None:
+    """Sets an event at the first signal; further ones change nothing."""
+    receiver, sender = socket.socketpair()
+    receiver.setblocking(False)
+    sender.setblocking(False)
+
+    def notify(number: int, frame: types.FrameType | None) -> None:
+        with contextlib.suppress(BlockingIOError):
+            sender.send(bytes((number,)))
+
+    for number in (signal.SIGTERM, signal.SIGINT):
+        signal.signal(number, notify)
+    async with io.Socket(receiver) as waiting:
+        while await waiting.recv(1):
+            await stop.set()
--- /dev/null
+++ b/banyantrack/core/auth.py
@@ -0,0 +1,71 @@
+"""Operators' tokens and what their holders may do."""
+
+from __future__ import annotations
+
+import enum
+import hashlib
+import hmac
+import typing
+
+if typing.TYPE_CHECKING:
+    import collections.abc
+
+    from banyantrack.generated.settings import ttypes as settings
+
+_SCHEME = 'bearer '
+_READ_METHODS = frozenset(('GET', 'HEAD'))
+_LABEL_PREFIX = '/v1/labels/'
+
+
+class TokenRole(enum.Enum):
+    """What the holder of a token may do."""
+
+    OPERATOR = 'operator'
+    MONITORING = 'monitoring'
+    READ_ONLY = 'read-only'
+
+
+class Authenticator:
+    """Checks tokens before anything is read or changed.
+
+    Args:
+        tokens: Known tokens; without any, everyone is an operator, which
+            settings allow on loopback only.
+    """
+
+    def __init__(
+        self, tokens: collections.abc.Sequence[settings.Token]
+    ) -> None:
+        self._tokens = tuple(tokens)
+
+    def role(self, authorization: str) -> TokenRole | None:
+        """Returns the role of a caller, or None if it has no valid token.
+
+        Args:
+            authorization: Value of the `Authorization` header, or ''.
+        """
+        if not self._tokens:
+            return TokenRole.OPERATOR
+        text = ''
+        if authorization.lower().startswith(_SCHEME):
+            text = authorization[len(_SCHEME) :].strip()
+        digest = hashlib.sha256(text.encode()).hexdigest()
+        role = None
+        for token in self._tokens:
+            # Every token is compared, so that time tells nothing.
+            if hmac.compare_digest(token.sha256, digest):
+                role = TokenRole(token.role)
+        return role
+
+    def allows(self, authorization: str, method: str, path: str) -> bool:
+        """Whether a caller may make a request.
+
+        A wrong token, a missing one and one without the right role get
+        the same refusal.
+        """
+        role = self.role(authorization)
+        if role is None:
+            return False
+        if role is TokenRole.OPERATOR or method in _READ_METHODS:
+            return True
+        return role is TokenRole.MONITORING and path.startswith(_LABEL_PREFIX)
--- a/banyantrack/core/logs.py
+++ b/banyantrack/core/logs.py
@@ -19,6 +19,8 @@
 _PAIR = re.compile(
     r'(?P<key>[A-Za-z0-9_.-]+)=(?P<value>"(?:[^"\\]|\\.)*"|[^\s"=]+)(?: |$)'
 )
+_VALUES = 'event_values'
+_COMMON_KEYS = frozenset(('time', 'level', 'logger', 'event'))
 _KEY_CHARACTERS = re.compile(r'[^A-Za-z0-9_.-]')
 
 
@@ -92,8 +94,12 @@
     ) -> dict[str, object]:
         """Puts the time first, in UTC."""
         now = datetime.datetime.now(datetime.timezone.utc)
-        stamp = now.isoformat(timespec='milliseconds')
-        return {'time': stamp} | super().process_log_record(log_data)
+        record = {'time': now.isoformat(timespec='milliseconds')}
+        record |= super().process_log_record(log_data)
+        # Values of an event must not hide what every line has.
+        for key, value in (record.pop(_VALUES, None) or {}).items():
+            record[f'{key}_' if key in _COMMON_KEYS else key] = value
+        return record
 
     def jsonify_log_record(self, log_data: dict[str, object]) -> str:
         """Renders the record; the name is given by the base class."""
@@ -118,7 +124,7 @@
         **values: Values of the event.
     """
     if logger.isEnabledFor(level):
-        logger.log(level, name, extra=values)
+        logger.log(level, name, extra={_VALUES: values})
 
 
 def configure(settings: settings.LoggingSettings) -> None:
--- /dev/null
+++ b/banyantrack/daemons/__init__.py
@@ -0,0 +1,1 @@
+"""The two daemons."""
--- /dev/null
+++ b/banyantrack/daemons/control.py
@@ -0,0 +1,345 @@
+"""The control daemon: replicated intent, placement, claims."""
+
+from __future__ import annotations
+
+import logging
+import pathlib
+import typing
+import urllib.parse
+
+import curio
+
+from banyantrack.core import auth
+from banyantrack.core import findings
+from banyantrack.core import logs
+from banyantrack.core import metrics as metrics_module
+from banyantrack.daemons import leadership
+from banyantrack.daemons import operator_api
+from banyantrack.daemons import problems
+from banyantrack.daemons import rollout as rollout_module
+from banyantrack.daemons import worker_api
+from banyantrack.generated.cluster import ttypes as cluster
+from banyantrack.generated.replication import ttypes as replication
+from banyantrack.intent import state as state_module
+from banyantrack.replication import api as replication_api
+from banyantrack.replication import errors as replication_errors
+from banyantrack.replication import group
+from banyantrack.replication import replica as replica_module
+from banyantrack.replication import storage as storage_module
+from banyantrack.transport import http
+from banyantrack.transport import http_server
+from banyantrack.transport import rpc
+
+if typing.TYPE_CHECKING:
+    from banyantrack.generated.settings import ttypes as settings_types
+
+HAND_OVER_TIMEOUT_S = 2.0
+STOP_GRACE_S = 1.0
+_WORKER_PREFIX = '/v1/workers/'
+_WORKER_SUFFIX = '/report'
+_LOG = logging.getLogger(__name__)
+
+
+def replication_options(
+    settings: settings_types.ControlSettings,
+) -> replication_api.Options:
+    """Returns the options of replication that settings state."""
+    chosen = settings.replication
+    return replication_api.Options(
+        election_timeout_s=chosen.election_timeout_ms / 1000,
+        heartbeat_s=chosen.heartbeat_ms / 1000,
+        snapshot_entries=chosen.snapshot_entries,
+        snapshot_chunk_bytes=chosen.snapshot_chunk_bytes,
+        append_bytes=chosen.append_bytes,
+        group_commit=chosen.group_commit,
+        auto_admit=frozenset(m.name for m in settings.members),
+    )
+
+
+class ControlDaemon:
+    """One member of the control group.
+
+    Args:
+        settings: Checked settings.
+
+    Raises:
+        StorageError: If the data folder cannot be used.
+        OSError: If an address cannot be bound.
+    """
+
+    def __init__(self, settings: settings_types.ControlSettings) -> None:
+        self._settings = settings
+        self._metrics = metrics_module.Metrics()
+        self._auth = auth.Authenticator(settings.tokens)
+        self._state = state_module.IntentState()
+        self._storage = storage_module.Storage(
+            pathlib.Path(settings.data_folder), settings.name
+        )
+        self._pool = rpc.RpcPool()
+        self._replica = replica_module.Replica(
+            replication.Member(
+                member_id='',
+                name=settings.name,
+                address=settings.rpc_address,
+                service_address=settings.http_address,
+            ),
+            self._storage,
+            self._state,
+            self._pool,
+            options=replication_options(settings),
+            contacts=[member.address for member in settings.members],
+        )
+        self._lead = leadership.Leadership(
+            self._replica, self._state, settings.placement, self._metrics
+        )
+        self._rollout = rollout_module.Rollout(self._replica, self._state)
+        self._workers = worker_api.WorkerApi(self._replica, self._lead)
+        self._operators = operator_api.OperatorApi(
+            self._replica, self._state, self._lead, self._rollout
+        )
+        self._add_gauges()
+
+    @property
+    def replica(self) -> replica_module.Replica:
+        """The member of the replication group."""
+        return self._replica
+
+    async def run(self, stop: curio.Event) -> None:
+        """Serves until a stop is asked for.
+
+        Args:
+            stop: Set when the daemon should stop.
+
+        Raises:
+            BanyanError: If it cannot go on.
+        """
+        rpc_server = rpc.RpcServer(self._settings.rpc_address)
+        group.register(rpc_server, self._replica)
+        rpc_server.handle(
+            cluster.WatchRequest, self._rollout.watch, concurrent=True
+        )
+        rpc_server.handle(
+            cluster.CommandRequest, self._command, concurrent=True
+        )
+        rpc_server.handle(
+            cluster.OperatorRequest, self._operator, concurrent=True
+        )
+        server = http_server.HttpServer(
+            self._settings.http_address, self._serve
+        )
+        await rpc_server.start()
+        await server.start()
+        logs.event(
+            _LOG,
+            'started',
+            name=self._settings.name,
+            member=self._replica.member.member_id,
+            rpc_address=self._settings.rpc_address,
+            http_address=self._settings.http_address,
+        )
+        async with curio.TaskGroup(wait=any) as tasks:
+            replica_task = await tasks.spawn(self._replica.run)
+            lead_task = await tasks.spawn(self._lead.run)
+            await tasks.spawn(self._wait_stop, stop, server)
+        for task in (replica_task, lead_task):
+            if isinstance(task.exception, Exception):
+                raise task.exception
+        await server.close()
+        await rpc_server.close()
+        await self._pool.close()
+        self._storage.close()
+        logs.event(_LOG, 'stopped', name=self._settings.name)
+
+    async def _wait_stop(
+        self, stop: curio.Event, server: http_server.HttpServer
+    ) -> None:
+        await stop.wait()
+        logs.event(_LOG, 'stopping', name=self._settings.name)
+        handed = await self._replica.hand_over(timeout_s=HAND_OVER_TIMEOUT_S)
+        logs.event(_LOG, 'leadership_handed_over', done=handed)
+        await server.stop_accepting()
+        async with curio.ignore_after(STOP_GRACE_S):
+            while server.active:
+                await curio.sleep(0.02)
+
+    def _add_gauges(self) -> None:
+        replica = self._replica
+        self._metrics.gauge('banyan_term', lambda: replica.term)
+        self._metrics.gauge('banyan_commit_index', lambda: replica.commit_index)
+        self._metrics.gauge('banyan_leads', lambda: float(replica.is_leader))
+        self._metrics.gauge('banyan_revision', lambda: self._state.revision)
+        self._metrics.gauge('banyan_jobs', lambda: len(self._state.jobs))
+        self._metrics.gauge('banyan_claims', lambda: len(self._state.claims))
+
+    # RPC from entries.
+
+    async def _command(
+        self, request: cluster.CommandRequest
+    ) -> cluster.CommandReply:
+        command = request.command
+        command.now_ms = leadership.now_ms()
+        if command.apply or command.place or command.job_events:
+            raise rpc.CallError(
+                cluster.ErrorCode.BAD_MESSAGE, 'entries may only claim'
+            )
+        try:
+            result = await self._lead.propose(command)
+        except replication_errors.ReplicationError as error:
+            raise _call_error(error) from error
+        return cluster.CommandReply(index=0, claim=result)
+
+    async def _operator(
+        self, request: cluster.OperatorRequest
+    ) -> cluster.OperatorReply:
+        refusal = self._check_role(request)
+        if refusal is not None:
+            return refusal
+        try:
+            return await self._operators.answer(request)
+        except replication_errors.ReplicationError as error:
+            raise _call_error(error) from error
+
+    def _check_role(
+        self, request: cluster.OperatorRequest
+    ) -> cluster.OperatorReply | None:
+        path = urllib.parse.urlsplit(request.target).path
+        authorization = request.headers.get('authorization', '')
+        if self._auth.allows(authorization, request.method, path):
+            return None
+        return problems.reply(
+            401,
+            'got no token that allows this',
+            headers={'www-authenticate': 'Bearer'},
+        )
+
+    # HTTP from workers and operators.
+
+    async def _serve(self, request: http_server.Request) -> None:
+        path = urllib.parse.urlsplit(request.target).path
+        try:
+            if path == '/metrics' and request.method == 'GET':
+                await self._serve_metrics(request)
+            elif path.startswith(_WORKER_PREFIX) and path.endswith(
+                _WORKER_SUFFIX
+            ):
+                await self._serve_report(request, path)
+            else:
+                await self._serve_operator(request)
+        except replication_errors.NotLeaderError as error:
+            await _redirect(request, error)
+        except replication_errors.ReplicationError as error:
+            await send_reply(request, problems.reply(503, str(error)))
+        except http.BodyTooLargeError as error:
+            await send_reply(request, problems.reply(413, str(error)))
+
+    async def _serve_metrics(self, request: http_server.Request) -> None:
+        body = self._metrics.render().encode()
+        await request.respond(200, [(b'content-type', b'text/plain')], body)
+
+    async def _serve_report(
+        self, request: http_server.Request, path: str
+    ) -> None:
+        name = path.removeprefix(_WORKER_PREFIX).removesuffix(_WORKER_SUFFIX)
+        body = await request.read_body(worker_api.REPORT_LIMIT_BYTES)
+        if request.method != 'POST':
+            await send_reply(request, problems.reply(405, 'valid is POST'))
+            return
+        try:
+            report = worker_api.parse_report(body)
+        except findings.FindingsError as error:
+            reply = problems.reply(422, 'report', found=error.findings)
+            await send_reply(request, reply)
+            return
+        answer = await self._workers.report(name, report)
+        await request.respond(
+            200, [(b'content-type', b'application/json')], answer
+        )
+
+    async def _serve_operator(self, request: http_server.Request) -> None:
+        asked = await to_operator_request(request, self._check_role)
+        if isinstance(asked, cluster.OperatorReply):
+            await send_reply(request, asked)
+            return
+        await send_reply(request, await self._operators.answer(asked))
+
+
+async def to_operator_request(
+    request: http_server.Request,
+    check: typing.Callable[
+        [cluster.OperatorRequest], cluster.OperatorReply | None
+    ],
+) -> cluster.OperatorRequest | cluster.OperatorReply:
+    """Reads an operator's request, after its token was checked.
+
+    Args:
+        request: The HTTP request.
+        check: Returns a refusal, or None.
+
+    Returns:
+        The request, or the refusal.
+
+    Raises:
+        BodyTooLargeError: If its body is too large.
+    """
+    headers = {
+        key.decode('latin-1'): value.decode('latin-1')
+        for key, value in request.headers
+    }
+    asked = cluster.OperatorRequest(
+        method=request.method,
+        target=request.target,
+        headers=headers,
+        body=b'',
+    )
+    refusal = check(asked)
+    if refusal is not None:
+        return refusal
+    asked.body = await request.read_body(operator_api.BODY_LIMIT_BYTES)
+    return asked
+
+
+def _call_error(
+    error: replication_errors.ReplicationError,
+) -> rpc.CallError:
+    match error:
+        case replication_errors.NotLeaderError():
+            return rpc.CallError(
+                cluster.ErrorCode.NOT_LEADER,
+                str(error),
+                leader_address=error.leader_address,
+            )
+        case replication_errors.UnknownOutcomeError():
+            return rpc.CallError(
+                cluster.ErrorCode.UNKNOWN_OUTCOME, str(error)
+            )
+    return rpc.CallError(cluster.ErrorCode.NOT_APPLIED, str(error))
+
+
+async def _redirect(
+    request: http_server.Request, error: replication_errors.NotLeaderError
+) -> None:
+    address = error.leader_service_address
+    if not address:
+        reply = problems.reply(
+            503, 'no leader is known now', headers={'retry-after': '1'}
+        )
+        await send_reply(request, reply)
+        return
+    reply = problems.reply(
+        307,
+        f'the leader is at {address}',
+        headers={'location': f'http://{address}{request.target}'},
+    )
+    await send_reply(request, reply)
+
+
+async def send_reply(
+    request: http_server.Request, reply: cluster.OperatorReply
+) -> None:
+    headers = [
+        (key.encode('latin-1'), value.encode('latin-1', 'replace'))
+        for key, value in reply.headers.items()
+    ]
+    await request.respond(reply.status, headers, reply.body)
+
+
--- /dev/null
+++ b/banyantrack/daemons/leadership.py
@@ -0,0 +1,291 @@
+"""What the leader of the control group does: placement and gangs."""
+
+from __future__ import annotations
+
+import logging
+import time
+import typing
+
+import curio
+
+from banyantrack.core import codec
+from banyantrack.core import logs
+from banyantrack.core import signals
+from banyantrack.generated.intent import ttypes as intent
+from banyantrack.intent import objects
+from banyantrack.placement import gangs
+from banyantrack.placement import scheduler
+from banyantrack.replication import errors as replication_errors
+
+if typing.TYPE_CHECKING:
+    import collections.abc
+
+    from banyantrack.core import metrics as metrics_module
+    from banyantrack.generated.settings import ttypes as settings
+    from banyantrack.intent import state as state_module
+    from banyantrack.replication import replica as replica_module
+
+PROPOSE_TIMEOUT_S = 5.0
+IDLE_S = 0.2
+# Between two looks at which workers have let their leases lapse.
+SILENCE_CHECK_S = 1.0
+_LOG = logging.getLogger(__name__)
+
+
+def now_ms() -> int:
+    """Returns the time in milliseconds since 1970."""
+    return int(time.time() * 1000)
+
+
+class Session:
+    """Soft state of one time of leadership.
+
+    Args:
+        state: The replicated state.
+        options: Settings of placement.
+    """
+
+    def __init__(
+        self,
+        state: state_module.IntentState,
+        options: settings.PlacementSettings,
+    ) -> None:
+        self._state = state
+        self._tracker: gangs.GangTracker | None = None
+        policies = scheduler.Policies(
+            score=options.score,
+            victims=options.victims,
+            queue=options.queue,
+        )
+        self._scheduler = scheduler.Scheduler(
+            state,
+            self,
+            policies=policies,
+            default_selector=options.default_selector,
+        )
+        self._tracker = gangs.GangTracker(
+            state.jobs.get,
+            self._scheduler.ledger.allotments,
+            state.worker_name,
+            lease_s=options.lease_ms / 1000,
+            grace_s=options.checkpoint_grace_ms / 1000,
+        )
+        self._silence_checked_at = 0.0
+
+    @property
+    def scheduler(self) -> scheduler.Scheduler:
+        """Placement decisions."""
+        return self._scheduler
+
+    @property
+    def tracker(self) -> gangs.GangTracker:
+        """Gangs and leases."""
+        return self._tracker
+
+    def progress_ms(self, job: str) -> int:
+        """Returns how long a job has run in all."""
+        return self._tracker.progress_ms(job) if self._tracker else 0
+
+    def unsaved_ms(self, job: str) -> int:
+        """Returns the work of a job since its last checkpoint."""
+        return self._tracker.unsaved_ms(job) if self._tracker else 0
+
+    def refresh(self) -> None:
+        """Takes over what changed in the replicated state."""
+        if self._scheduler.ledger.sync():
+            self._tracker.follow()
+
+    def decide(self) -> intent.Command | None:
+        """Runs one round; returns what to propose, or None."""
+        self.refresh()
+        self._check_silence()
+        decisions = self._scheduler.decide(
+            max(now_ms(), self._state.clock_ms)
+        )
+        events = decisions.events + self._tracker.events()
+        if not decisions.places and not events:
+            return None
+        self._learn(events)
+        return intent.Command(
+            now_ms=now_ms(),
+            place=decisions.places or None,
+            job_events=events or None,
+        )
+
+    def _check_silence(self) -> None:
+        now_s = time.monotonic()
+        if now_s - self._silence_checked_at < SILENCE_CHECK_S:
+            return
+        self._silence_checked_at = now_s
+        fleet = self._scheduler.ledger.fleet
+        known = (w for w in range(len(fleet)) if fleet.name(w))
+        fleet.silent = self._tracker.silent(known)
+
+    def _learn(
+        self, events: collections.abc.Iterable[intent.JobEventCommand]
+    ) -> None:
+        for event in events:
+            if event.event == intent.JobEvent.COMPLETED:
+                self._scheduler.note_completed(
+                    event.job, self._tracker.progress_ms(event.job)
+                )
+            elif event.reason == intent.StopReason.MEMBER_FAILED:
+                number = self._scheduler.ledger.fleet.number(
+                    event.failed_worker
+                )
+                if number is not None:
+                    self._scheduler.note_failure(event.job, number)
+
+
+class Leadership:
+    """Runs placement while this member leads.
+
+    Args:
+        replica: The member.
+        state: The replicated state.
+        options: Settings of placement.
+        metrics: Metrics of the process.
+    """
+
+    def __init__(
+        self,
+        replica: replica_module.Replica,
+        state: state_module.IntentState,
+        options: settings.PlacementSettings,
+        metrics: metrics_module.Metrics,
+    ) -> None:
+        self._replica = replica
+        self._state = state
+        self._options = options
+        self._metrics = metrics
+        self._session: Session | None = None
+        self._work = signals.Signal()
+        self._polls: dict[int, signals.Signal] = {}
+
+    @property
+    def session(self) -> Session | None:
+        """Soft state, while this member leads and is ready."""
+        return self._session if self._replica.ready else None
+
+    @property
+    def options(self) -> settings.PlacementSettings:
+        """Settings of placement."""
+        return self._options
+
+    async def run(self) -> None:
+        """Leads whenever this member is the leader; until cancelled."""
+        while True:
+            if self._replica.ready:
+                await self._lead(self._replica.term)
+                self._session = None
+            else:
+                # Nobody follows the state here; keep its notes short.
+                self._state.take_dirty()
+                await self._replica.wait_change(IDLE_S)
+
+    async def request_round(self) -> None:
+        """Starts a round soon."""
+        await self._work.notify()
+
+    async def register(
+        self, name: str, worker: intent.Worker
+    ) -> int:
+        """Makes a worker known, if it is new or has changed.
+
+        Returns:
+            Its number.
+
+        Raises:
+            ReplicationError: If the change is not agreed.
+        """
+        known = self._state.get(intent.ObjectKind.WORKER, name)
+        if known is not None:
+            worker.number = known.worker.number
+            if known.worker == worker:
+                return worker.number
+        kind = objects.BY_NUMBER[intent.ObjectKind.WORKER]
+        stored = objects.make(kind, name, worker)
+        await self.propose(
+            intent.Command(now_ms=now_ms(), workers=[stored])
+        )
+        await self._work.notify()
+        stored = self._state.get(intent.ObjectKind.WORKER, name)
+        return stored.worker.number
+
+    async def propose(self, command: intent.Command) -> typing.Any:
+        """Proposes a command and returns its result.
+
+        Raises:
+            ReplicationError: If it is not agreed.
+        """
+        started_at = time.monotonic()
+        applied = await self._replica.propose(
+            codec.encode(command), timeout_s=PROPOSE_TIMEOUT_S
+        )
+        self._metrics.histogram('banyan_propose_us').record(
+            time.monotonic() - started_at
+        )
+        return applied.result
+
+    def poll(self, worker: int) -> signals.Signal:
+        """Returns what is notified when there may be commands."""
+        found = self._polls.get(worker)
+        if found is None:
+            found = self._polls[worker] = signals.Signal()
+        return found
+
+    async def _lead(self, term: int) -> None:
+        self._session = session = Session(self._state, self._options)
+        logs.event(_LOG, 'placement_started', term=term)
+        while self._replica.ready and self._replica.term == term:
+            started_at = time.monotonic()
+            command = session.decide()
+            self._metrics.histogram('banyan_round_us').record(
+                time.monotonic() - started_at
+            )
+            if command is None:
+                await self._work.wait_for(self._options.round_ms / 1000)
+                continue
+            try:
+                await self.propose(command)
+            except replication_errors.ReplicationError as error:
+                # What was tried stands or not; start anew from the state.
+                logs.event(
+                    _LOG,
+                    'placement_unconfirmed',
+                    level=logging.WARNING,
+                    error=error,
+                )
+                return
+            self._count(command)
+            await self._wake_workers(command)
+            # Reports and operators go on during a burst.
+            await curio.sleep(0)
+        logs.event(_LOG, 'placement_ended', term=term)
+
+    def _count(self, command: intent.Command) -> None:
+        placed = len(command.place or ())
+        self._metrics.counter('banyan_gangs_placed').add(placed)
+        for event in command.job_events or ():
+            name = intent.JobEvent._VALUES_TO_NAMES[event.event].lower()
+            self._metrics.counter('banyan_job_events', event=name).add()
+            logs.event(
+                _LOG,
+                'job_event',
+                job=event.job,
+                epoch=event.epoch,
+                change=name,
+                reason=intent.StopReason._VALUES_TO_NAMES[event.reason],
+            )
+
+    async def _wake_workers(self, command: intent.Command) -> None:
+        names = {place.job for place in command.place or ()}
+        names |= {event.job for event in command.job_events or ()}
+        session = self._session
+        session.refresh()
+        for name in names:
+            allotment = session.scheduler.ledger.allotments.get(name)
+            if allotment is None:
+                continue
+            for worker in set(allotment.workers):
+                await self.poll(worker).notify()
--- /dev/null
+++ b/banyantrack/daemons/rollout.py
@@ -0,0 +1,161 @@
+"""Follows which entry has which revision in force."""
+
+from __future__ import annotations
+
+import dataclasses
+import logging
+import time
+import typing
+
+from banyantrack.core import logs
+from banyantrack.generated.cluster import ttypes as cluster
+from banyantrack.generated.intent import ttypes as intent
+from banyantrack.intent import feed
+from banyantrack.replication import errors as replication_errors
+from banyantrack.transport import rpc
+
+if typing.TYPE_CHECKING:
+    from banyantrack.intent import state as state_module
+    from banyantrack.replication import replica as replica_module
+
+# What entries need; jobs and workers do not concern them.
+ENTRY_KINDS = (
+    intent.ObjectKind.CUSTOMER,
+    intent.ObjectKind.GUARANTEE,
+    intent.ObjectKind.ROUTE,
+    intent.ObjectKind.BACKEND_LABELS,
+)
+BARRIER_TIMEOUT_S = 2.0
+# Entries that have not asked for this long are listed as silent, then
+# forgotten.
+SILENT_S = 15.0
+FORGET_S = 86_400.0
+_LOG = logging.getLogger(__name__)
+
+
+@dataclasses.dataclass(slots=True)
+class EntryProgress:
+    """What the leader knows of one entry.
+
+    Attributes:
+        name: Its name.
+        address: Its RPC address.
+        http_address: Its HTTP address.
+        revision: Revision that it has in force.
+        heard_at: Monotonic time of its last request.
+    """
+
+    name: str
+    address: str
+    http_address: str
+    revision: int
+    heard_at: float
+
+    @property
+    def silent(self) -> bool:
+        """Whether it has not asked for a while."""
+        return time.monotonic() - self.heard_at > SILENT_S
+
+
+class Rollout:
+    """Answers entries that follow the configuration.
+
+    Args:
+        replica: The member.
+        state: The replicated state.
+    """
+
+    def __init__(
+        self,
+        replica: replica_module.Replica,
+        state: state_module.IntentState,
+    ) -> None:
+        self._replica = replica
+        self._state = state
+        self._entries: dict[str, EntryProgress] = {}
+
+    @property
+    def entries(self) -> list[EntryProgress]:
+        """Entries that ask or have asked of late, by name."""
+        now_s = time.monotonic()
+        for name, entry in list(self._entries.items()):
+            if now_s - entry.heard_at > FORGET_S:
+                del self._entries[name]
+        return sorted(self._entries.values(), key=lambda entry: entry.name)
+
+    async def watch(self, request: cluster.WatchRequest) -> cluster.WatchReply:
+        """Answers with what changed, or after a time without changes.
+
+        Raises:
+            rpc.CallError: If this member does not lead.
+        """
+        if not self._replica.ready:
+            raise self.not_leader()
+        self._note(request)
+        if request.from_revision == 0:
+            return await self._whole()
+        deadline = time.monotonic() + request.wait_ms / 1000
+        while True:
+            reply = self._changes(request.from_revision)
+            left_s = deadline - time.monotonic()
+            if reply.full or reply.objects or left_s <= 0:
+                return reply
+            await self._replica.wait_change(left_s)
+            if not self._replica.ready:
+                raise self.not_leader()
+
+    def not_leader(self) -> rpc.CallError:
+        """Returns the error that names the leader."""
+        error = self._replica.not_leader()
+        return rpc.CallError(
+            cluster.ErrorCode.NOT_LEADER,
+            str(error),
+            leader_address=error.leader_address,
+        )
+
+    def _note(self, request: cluster.WatchRequest) -> None:
+        known = self._entries.get(request.entry)
+        if known is not None and request.from_revision < known.revision:
+            # A restarted entry starts with nothing in force.
+            logs.event(
+                _LOG,
+                'entry_starts_over',
+                entry=request.entry,
+                revision=known.revision,
+            )
+        self._entries[request.entry] = EntryProgress(
+            name=request.entry,
+            address=request.entry_address,
+            http_address=request.http_address,
+            revision=request.from_revision,
+            heard_at=time.monotonic(),
+        )
+
+    async def _whole(self) -> cluster.WatchReply:
+        """Returns the whole configuration, confirmed by a quorum."""
+        try:
+            await self._replica.read_barrier(timeout_s=BARRIER_TIMEOUT_S)
+        except replication_errors.ReplicationError:
+            raise self.not_leader() from None
+        return self._full()
+
+    def _full(self) -> cluster.WatchReply:
+        return cluster.WatchReply(
+            full=True,
+            revision=self._state.revision,
+            objects=self._state.of_kind(*ENTRY_KINDS),
+        )
+
+    def _changes(self, revision: int) -> cluster.WatchReply:
+        if revision > self._state.revision:
+            # This leader has not applied what another one answered with.
+            raise self.not_leader()
+        try:
+            changes = self._state.feed.after(revision)
+        except feed.CompactedError:
+            return self._full()
+        return cluster.WatchReply(
+            full=False,
+            revision=self._state.revision,
+            objects=[c for c in changes if c.kind in ENTRY_KINDS],
+        )
--- a/banyantrack/intent/jobs.py
+++ b/banyantrack/intent/jobs.py
@@ -56,8 +56,8 @@
             submitted_ms=now_ms,
             epoch=0,
             allotment=Allotment.NONE,
-            members=[],
-            borrowed=False,
+            workers=b'',
+            guarantee='',
             started_ms=0,
             finished_ms=0,
             attempts=0,
@@ -69,12 +69,21 @@
             revision=revision,
         )
 
-    def cancel(self, name: str, now_ms: int) -> None:
-        """Ends a job that waits; a placed one must stop first."""
+    def cancel(
+        self, name: str, spec: ttypes.Job | None, now_ms: int
+    ) -> None:
+        """Ends a job that waits; a placed one must stop first.
+
+        Args:
+            name: Name of the job.
+            spec: Its specification, kept until it has stopped.
+            now_ms: The time.
+        """
         status = self._jobs.get(name)
         if status is None or status.phase in FINISHED:
             return
         status.reason = Reason.CANCELLED
+        status.spec = spec
         if status.phase == Phase.WAITING:
             self._finish(status, Phase.CANCELLED, now_ms)
         elif status.allotment != Allotment.STOPPING:
@@ -100,8 +109,8 @@
         status.phase = Phase.PLACED
         status.allotment = Allotment.HOLDING
         status.epoch = epoch
-        status.members = command.members
-        status.borrowed = command.borrowed
+        status.workers = command.workers
+        status.guarantee = command.guarantee
         status.reason = Reason.NONE
         status.phase_since_ms = now_ms
         return True
@@ -115,9 +124,13 @@
             Whether anything changed.
         """
         status = self._jobs.get(command.job)
-        if status is None or status.phase != Phase.PLACED:
+        if status is None or status.epoch != command.epoch:
             return False
-        if status.epoch != command.epoch:
+        if status.phase == Phase.WAITING and command.event == Event.GIVEN_UP:
+            status.reason = command.reason
+            self._finish(status, Phase.FAILED, now_ms)
+            return True
+        if status.phase != Phase.PLACED:
             return False
         match command.event:
             case Event.STARTED:
@@ -207,13 +220,17 @@
             return True
         status.phase = Phase.WAITING
         status.allotment = Allotment.NONE
-        status.members = []
+        status.workers = b''
         status.phase_since_ms = now_ms
         return True
 
     def _completed(self, status: ttypes.JobStatus, now_ms: int) -> bool:
-        if status.allotment != Allotment.RUNNING:
+        # A gang may come to its end while it is asked to stop.
+        if status.allotment not in (Allotment.RUNNING, Allotment.STOPPING):
             return False
+        if status.reason == Reason.CANCELLED:
+            self._finish(status, Phase.CANCELLED, now_ms)
+            return True
         self._finish(status, Phase.COMPLETED, now_ms)
         return True
 
@@ -226,7 +243,8 @@
     ) -> None:
         status.phase = phase
         status.allotment = Allotment.NONE
-        status.members = []
+        status.workers = b''
+        status.spec = None
         status.finished_ms = now_ms
         status.phase_since_ms = now_ms
         self._finished[status.job] = None
--- a/banyantrack/intent/objects.py
+++ b/banyantrack/intent/objects.py
@@ -18,6 +18,7 @@
         | ttypes.Job
         | ttypes.Route
         | ttypes.LabelSet
+        | ttypes.Worker
     )
 
 MAX_DOCUMENTS = 10_000
@@ -54,6 +55,7 @@
         'labels',
         'LabelSet',
     ),
+    Kind(ttypes.ObjectKind.WORKER, 'workers', 'worker', 'Worker'),
 )
 BY_NUMBER = {kind.number: kind for kind in KINDS}
 BY_PLURAL = {kind.plural: kind for kind in KINDS}
--- a/banyantrack/intent/state.py
+++ b/banyantrack/intent/state.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import array
+import dataclasses
 import typing
 
 from banyantrack.core import codec
@@ -27,6 +29,19 @@
 Verdict = ttypes.Verdict
 
 
+@dataclasses.dataclass(slots=True)
+class Dirty:
+    """What changed since it was last asked.
+
+    Attributes:
+        jobs: Names of jobs whose status changed.
+        objects: Kinds and names of changed objects.
+    """
+
+    jobs: set[str]
+    objects: set[tuple[int, str]]
+
+
 class IntentState:
     """State machine of the control group.
 
@@ -42,6 +57,9 @@
         self._jobs = jobs.JobTable()
         self._feed = feed.ChangeFeed()
         self._generation = 0
+        self._dirty = Dirty(set(), set())
+        self._numbers: dict[int, str] = {}
+        self._next_number = 0
 
     @property
     def revision(self) -> int:
@@ -73,6 +91,21 @@
         """Recent changes."""
         return self._feed
 
+    def key_record(self, key: str) -> ttypes.KeyRecord | None:
+        """Returns the first answer to a key, or None."""
+        return self._keys.get(key)
+
+    def take_dirty(self) -> Dirty:
+        """Returns what changed since the last call, for one follower."""
+        dirty, self._dirty = self._dirty, Dirty(set(), set())
+        return dirty
+
+    def mark_all_dirty(self) -> None:
+        """Makes the next `take_dirty` return everything."""
+        self._dirty = Dirty(
+            {status.job for status in self._jobs}, set(self._objects)
+        )
+
     def get(self, kind: int, name: str) -> ttypes.StoredObject | None:
         """Returns an object, or None."""
         return self._objects.get((kind, name))
@@ -98,6 +131,8 @@
             self._claims.release(command.claim_release)
         if command.place is not None:
             self._place(index, command.place)
+        if command.workers is not None:
+            self._register_workers(index, command.workers)
         if command.job_events is not None:
             self._job_events(index, command.job_events)
         return None
@@ -136,11 +171,17 @@
         self._objects = {
             (stored.kind, stored.name): stored for stored in snapshot.objects
         }
+        self._numbers = {
+            stored.worker.number: stored.name
+            for stored in self.of_kind(Kind.WORKER)
+        }
+        self._next_number = max(self._numbers, default=-1) + 1
         self._keys.restore(snapshot.keys)
         self._claims.restore(snapshot.claims)
         self._jobs.restore(snapshot.jobs)
         self._feed.reset(snapshot.revision)
         self._generation += 1
+        self.mark_all_dirty()
 
     # Changes of objects.
 
@@ -217,6 +258,8 @@
         found: findings.Findings,
     ) -> None:
         for stored in changed:
+            if stored.kind == Kind.WORKER:
+                self._check_worker(stored, found)
             if stored.kind != Kind.JOB or stored.deleted:
                 continue
             status = self._jobs.get(stored.name)
@@ -233,6 +276,25 @@
                 ' valid is another name, or to delete it first',
             )
 
+    def _check_worker(
+        self, stored: ttypes.StoredObject, found: findings.Findings
+    ) -> None:
+        place = f'workers/{stored.name}'
+        if not stored.deleted:
+            found.add(place, 'workers describe themselves; valid is delete')
+            return
+        known = self._objects.get((Kind.WORKER, stored.name))
+        if known is None:
+            return
+        for status in self._jobs:
+            if known.worker.number in array.array('H', status.workers):
+                found.add(
+                    place,
+                    f'job {status.job!r} has a member there;'
+                    ' valid is to cancel it first',
+                )
+                return
+
     def _store(self, index: int, stored: ttypes.StoredObject) -> None:
         errors.check_invariant(
             index >= self._revision,
@@ -242,24 +304,34 @@
         )
         key = (stored.kind, stored.name)
         known = key in self._objects
+        gone = None
         if stored.deleted:
             if not known:
                 return
-            del self._objects[key]
+            gone = self._objects.pop(key)
+            if gone.worker is not None:
+                del self._numbers[gone.worker.number]
+                self._next_number = max(self._numbers, default=-1) + 1
         else:
             self._objects[key] = stored
         stored.revision = index
         self._revision = index
         self._feed.add(stored)
+        self._dirty.objects.add(key)
         if stored.kind == Kind.JOB:
-            self._store_job(index, stored, known)
+            self._store_job(index, stored, gone, known)
 
     def _store_job(
-        self, index: int, stored: ttypes.StoredObject, known: bool
+        self,
+        index: int,
+        stored: ttypes.StoredObject,
+        gone: ttypes.StoredObject | None,
+        known: bool,
     ) -> None:
         status = self._jobs.get(stored.name)
+        self._dirty.jobs.add(stored.name)
         if stored.deleted:
-            self._jobs.cancel(stored.name, self._clock_ms)
+            self._jobs.cancel(stored.name, gone.job, self._clock_ms)
         elif status is None or not known:
             self._jobs.submit(stored.name, index, self._clock_ms)
         else:
@@ -274,12 +346,45 @@
                 kind = objects.BY_NUMBER[Kind.JOB]
                 self._feed.add(objects.tombstone(kind, name, index))
 
-    # Placement.
+    # Workers and placement.
+
+    def _register_workers(
+        self, index: int, workers: list[ttypes.StoredObject]
+    ) -> None:
+        """Adds workers or changes what they say of themselves."""
+        for stored in workers:
+            known = self._objects.get((Kind.WORKER, stored.name))
+            if known is None:
+                stored.worker.number = self._free_number()
+            else:
+                stored.worker.number = known.worker.number
+            self._numbers[stored.worker.number] = stored.name
+            self._store(index, stored)
+
+    def _free_number(self) -> int:
+        # Members that restored a snapshot must come to the same number.
+        if len(self._numbers) == self._next_number:
+            self._next_number += 1
+            return self._next_number - 1
+        number = 0
+        while number in self._numbers:
+            number += 1
+        return number
+
+    def worker_name(self, number: int) -> str:
+        """Returns the name of the worker that has a number."""
+        return self._numbers[number]
+
+    def worker_names(self, status: ttypes.JobStatus) -> list[str]:
+        """Returns the workers of a gang, one for each member."""
+        numbers = array.array('H', status.workers)
+        return [self._numbers[number] for number in numbers]
 
     def _place(
         self, index: int, commands: list[ttypes.PlaceCommand]
     ) -> None:
         for command in commands:
+            self._dirty.jobs.add(command.job)
             if (Kind.JOB, command.job) in self._objects:
                 self._jobs.place(command, index, self._clock_ms)
 
@@ -289,6 +394,7 @@
         for command in commands:
             if not self._jobs.event(command, self._clock_ms):
                 continue
+            self._dirty.jobs.add(command.job)
             status = self._jobs.get(command.job)
             stored = self._objects.get((Kind.JOB, command.job))
             if (
--- /dev/null
+++ b/banyantrack/placement/__init__.py
@@ -0,0 +1,1 @@
+"""Placement of gangs under guarantees."""
--- /dev/null
+++ b/banyantrack/placement/allotments.py
@@ -0,0 +1,262 @@
+"""Which work has which workers, mirrored from the replicated state."""
+
+from __future__ import annotations
+
+import array
+import collections
+import typing
+
+from banyantrack.core import states
+from banyantrack.generated.intent import ttypes as intent
+from banyantrack.placement import fleet as fleet_module
+from banyantrack.placement import places
+from banyantrack.placement import witness as witness_module
+
+if typing.TYPE_CHECKING:
+    from banyantrack.intent import state as state_module
+
+Kind = intent.ObjectKind
+Phase = intent.JobPhase
+
+
+class Allotment:
+    """Resources that one gang has.
+
+    Attributes:
+        epoch: Its epoch; 0 until its placement is agreed.
+        workers: Worker of each member.
+        gang: What it asked for.
+        customer: Whose it is.
+        guarantee: Guarantee that it is charged to; empty if it borrows.
+        urgent: Whether it was urgent.
+        checkpointable: Whether it can write a checkpoint.
+    """
+
+    __slots__ = (
+        'checkpointable',
+        'epoch',
+        'workers',
+        'gang',
+        'customer',
+        'guarantee',
+        'urgent',
+    )
+
+    def __init__(
+        self,
+        epoch: int,
+        workers: array.array,
+        job: intent.Job,
+        guarantee: str,
+    ) -> None:
+        self.epoch = epoch
+        self.workers = workers
+        self.gang = gang_of(job)
+        self.customer = job.customer
+        self.guarantee = guarantee
+        self.urgent = job.urgent
+        self.checkpointable = job.checkpointable
+
+    @property
+    def borrowed(self) -> bool:
+        """Whether it can be reclaimed."""
+        return not self.guarantee
+
+    def slots(self) -> dict[int, int]:
+        """Returns its accelerators by worker."""
+        return slots_of(self.workers, self.gang)
+
+
+def slots_of(
+    workers: typing.Iterable[int], gang: places.Gang
+) -> dict[int, int]:
+    """Returns the accelerators that a gang takes, by worker."""
+    slots: dict[int, int] = {}
+    if gang.need.accelerators:
+        for worker in workers:
+            slots[worker] = slots.get(worker, 0) + gang.need.accelerators
+    return slots
+
+
+def gang_of(job: intent.Job) -> places.Gang:
+    """Returns what a job asks of its place."""
+    return places.Gang(
+        members=job.members,
+        need=fleet_module.Need(
+            job.accelerators, job.processors, job.memory_mb
+        ),
+        adjacency=states.Adjacency(job.adjacency),
+        selector=job.selector or '',
+    )
+
+
+class Ledger:
+    """Use of the fleet by all gangs, and the witness that follows from it.
+
+    Args:
+        state: The replicated state.
+        default_selector: Selector that every placement has.
+    """
+
+    def __init__(
+        self, state: state_module.IntentState, default_selector: str
+    ) -> None:
+        self._state = state
+        self.fleet = fleet_module.Fleet(default_selector)
+        self.witness = witness_module.Witness(self.fleet)
+        self.allotments: dict[str, Allotment] = {}
+        self.waiting: dict[str, intent.JobStatus] = {}
+        self.used_by_customer: dict[str, int] = collections.Counter()
+        self.used_by_guarantee: dict[str, int] = collections.Counter()
+        state.mark_all_dirty()
+
+    def sync(self) -> bool:
+        """Takes over what changed in the replicated state.
+
+        Returns:
+            Whether anything changed.
+
+        Raises:
+            InvariantError: If the witness does not hold afterwards.
+        """
+        dirty = self._state.take_dirty()
+        if not dirty.jobs and not dirty.objects:
+            return False
+        for kind, name in sorted(dirty.objects):
+            self._sync_object(kind, name)
+        for name in sorted(dirty.jobs):
+            self._sync_job(name)
+        self.witness.repair()
+        self.witness.check()
+        return True
+
+    def job(self, name: str) -> intent.Job | None:
+        """Returns the specification of a job, or None if it is gone."""
+        stored = self._state.get(Kind.JOB, name)
+        return None if stored is None else stored.job
+
+    def grant(self, name: str, allotment: Allotment) -> None:
+        """Gives a gang its workers."""
+        gang = allotment.gang
+        self.fleet.take(
+            allotment.workers, gang.need, borrowed=allotment.borrowed
+        )
+        self.allotments[name] = allotment
+        self.waiting.pop(name, None)
+        self.used_by_customer[allotment.customer] += gang.accelerators
+        if allotment.guarantee:
+            self.witness.pin(allotment.slots())
+            self._charge(allotment.guarantee, gang.accelerators)
+
+    def release(self, name: str) -> None:
+        """Takes back what a gang had."""
+        allotment = self.allotments.pop(name)
+        gang = allotment.gang
+        self.fleet.give_back(
+            allotment.workers, gang.need, borrowed=allotment.borrowed
+        )
+        self.used_by_customer[allotment.customer] -= gang.accelerators
+        if allotment.guarantee:
+            self.witness.pin(allotment.slots(), -1)
+            self._charge(allotment.guarantee, -gang.accelerators)
+
+    def entitlement_after(
+        self, guarantee: str, accelerators: int
+    ) -> witness_module.Entitlement | None:
+        """Returns a guarantee once more work is charged to it.
+
+        Returns:
+            None if the guarantee does not cover that work.
+        """
+        stored = self._state.get(Kind.GUARANTEE, guarantee)
+        if stored is None:
+            return None
+        found = stored.guarantee
+        used = self.used_by_guarantee[guarantee] + accelerators
+        remaining = found.count * found.accelerators - used
+        if remaining < 0 and accelerators > 0:
+            return None
+        return witness_module.Entitlement(
+            guarantee=guarantee,
+            shape=found.accelerators,
+            remaining=max(remaining, 0),
+            adjacency=states.Adjacency(found.adjacency),
+            selector=found.selector or '',
+        )
+
+    def guarantees_of(self, customer: str) -> list[str]:
+        """Returns the guarantees of a customer."""
+        return sorted(
+            stored.name
+            for stored in self._state.of_kind(Kind.GUARANTEE)
+            if stored.guarantee.customer == customer
+        )
+
+    def weight(self, customer: str) -> int:
+        """Returns the weight of a customer."""
+        stored = self._state.get(Kind.CUSTOMER, customer)
+        return stored.customer.weight if stored else 1
+
+    def quota(self, customer: str) -> int:
+        """Returns the quota of a customer; 0 for none."""
+        stored = self._state.get(Kind.CUSTOMER, customer)
+        return stored.customer.quota_accelerators if stored else 0
+
+    def _charge(self, guarantee: str, accelerators: int) -> None:
+        self.used_by_guarantee[guarantee] += accelerators
+        self._update_entitlement(guarantee)
+
+    def _update_entitlement(self, guarantee: str) -> None:
+        entitlement = self.entitlement_after(guarantee, 0)
+        if entitlement is None:
+            self.witness.remove(guarantee)
+        else:
+            self.witness.set_entitlement(entitlement)
+
+    def _sync_object(self, kind: int, name: str) -> None:
+        if kind == Kind.GUARANTEE:
+            self._update_entitlement(name)
+        elif kind in (Kind.WORKER, Kind.WORKER_LABELS):
+            self._sync_worker(name)
+
+    def _sync_worker(self, name: str) -> None:
+        stored = self._state.get(Kind.WORKER, name)
+        number = self.fleet.number(name)
+        if stored is None:
+            if number is not None:
+                self.fleet.remove(number)
+            return
+        operators = self._state.get(Kind.WORKER_LABELS, name)
+        labels = dict(stored.worker.own_labels or {})
+        if operators is not None:
+            labels.update(operators.labels.labels)
+        self.fleet.put(stored.worker.number, name, stored.worker, labels)
+
+    def _sync_job(self, name: str) -> None:
+        status = self._state.jobs.get(name)
+        job = self.job(name)
+        placed = status is not None and status.phase == Phase.PLACED
+        known = self.allotments.get(name)
+        if known is not None:
+            if placed and known.epoch in (0, status.epoch):
+                known.epoch = status.epoch
+                return
+            self.release(name)
+        self.waiting.pop(name, None)
+        if placed:
+            self._adopt(name, status, job)
+        elif (
+            status is not None
+            and job is not None
+            and status.phase == Phase.WAITING
+        ):
+            self.waiting[name] = status
+
+    def _adopt(
+        self, name: str, status: intent.JobStatus, job: intent.Job | None
+    ) -> None:
+        # A cancelled job has its workers until it has stopped.
+        spec = job or status.spec
+        workers = array.array('H', status.workers)
+        allotment = Allotment(status.epoch, workers, spec, status.guarantee)
+        self.grant(name, allotment)
--- /dev/null
+++ b/banyantrack/placement/gangs.py
@@ -0,0 +1,489 @@
+"""What workers run, and what they should do next, under leases.
+
+Commands follow from the difference between what the replicated state wants
+and what a worker reported, so a lost answer or a new leader needs nothing
+special: the next report is answered with the same commands again.
+"""
+
+from __future__ import annotations
+
+import array
+import dataclasses
+import enum
+import time
+import typing
+
+from banyantrack.core import errors
+from banyantrack.generated.intent import ttypes as intent
+
+if typing.TYPE_CHECKING:
+    import collections.abc
+
+    from banyantrack.placement import allotments
+
+Allot = intent.AllotmentState
+Event = intent.JobEvent
+Reason = intent.StopReason
+
+# A gang whose members are not all held by then gives its workers back.
+HOLD_TIMEOUT_S = 10.0
+# Reports in a row above the declared use before a task is stopped. Usage
+# lags, so one report may still speak of the task before.
+OVERRUN_REPORTS = 3
+OVERRUN_FACTOR = 1.1
+
+
+class TaskState(enum.Enum):
+    """State of a gang's members on one worker, as it reports them."""
+
+    HELD = 'held'
+    RUNNING = 'running'
+    CHECKPOINTED = 'checkpointed'
+    DONE = 'done'
+    FAILED = 'failed'
+
+
+class Action(enum.Enum):
+    """What a worker is asked to do."""
+
+    HOLD = 'hold'
+    START = 'start'
+    CHECKPOINT = 'checkpoint'
+    THROTTLE = 'throttle'
+    STOP = 'stop'
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class TaskReport:
+    """One gang's members on one worker."""
+
+    job: str
+    epoch: int
+    state: TaskState
+    progress_ms: int
+    saved_ms: int
+    memory_mb: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class TaskCommand:
+    """What a worker should do with one gang's members."""
+
+    action: Action
+    job: str
+    epoch: int
+    members: int = 0
+    accelerators: int = 0
+    progress_ms: int = 0
+
+
+class _Gang:
+    """What is known of a placed gang.
+
+    Attributes:
+        epoch: Its epoch.
+        workers: Its distinct workers, sorted.
+        states: What each of them reported; 0 for nothing.
+    """
+
+    __slots__ = (
+        'epoch',
+        'workers',
+        'states',
+        'progress_ms',
+        'saved_ms',
+        'since',
+        'stopping_since',
+        'overruns',
+        'pending',
+    )
+
+    def __init__(self, epoch: int, workers: array.array) -> None:
+        self.epoch = epoch
+        self.workers = array.array('H', sorted(set(workers)))
+        self.states = bytearray(len(self.workers))
+        self.progress_ms = 0
+        self.saved_ms = 0
+        self.since = time.monotonic()
+        self.overruns = 0
+        self.stopping_since: float | None = None
+        # An event that was proposed and is not applied yet.
+        self.pending = 0
+
+
+_CODES = {state: number for number, state in enumerate(TaskState, 1)}
+_UNKNOWN = 0
+_GONE = len(TaskState) + 1
+_HELD = _CODES[TaskState.HELD]
+_DONE = _CODES[TaskState.DONE]
+
+
+class GangTracker:
+    """Follows gangs through the reports of their workers.
+
+    Args:
+        statuses: Returns the replicated status of a job.
+        gangs: Resources by job.
+        worker_name: Returns the name of a worker number.
+        lease_s: Seconds for which a lease is given.
+        grace_s: Seconds that a task has to write a checkpoint.
+    """
+
+    def __init__(
+        self,
+        statuses: collections.abc.Callable[[str], intent.JobStatus | None],
+        gangs: collections.abc.Mapping[str, allotments.Allotment],
+        worker_name: collections.abc.Callable[[int], str],
+        *,
+        lease_s: float,
+        grace_s: float,
+    ) -> None:
+        self._statuses = statuses
+        self._allotments = gangs
+        self._worker_name = worker_name
+        self._lease_s = lease_s
+        self._grace_s = grace_s
+        self._gangs: dict[str, _Gang] = {}
+        self._on_worker: dict[int, set[str]] = {}
+        # An earlier leader may have given leases up to its last moment.
+        self._began_at = time.monotonic()
+        self._lease_until: dict[int, float] = {}
+        self._sequences: dict[int, tuple[int, int]] = {}
+
+    def progress_ms(self, job: str) -> int:
+        """Returns how long a job has run in all."""
+        gang = self._gangs.get(job)
+        status = self._statuses(job)
+        saved_ms = status.progress_ms if status else 0
+        return max(gang.progress_ms if gang else 0, saved_ms)
+
+    def unsaved_ms(self, job: str) -> int:
+        """Returns the work of a job since its last checkpoint."""
+        gang = self._gangs.get(job)
+        if gang is None:
+            return 0
+        return max(gang.progress_ms - gang.saved_ms, 0)
+
+    def lease_until(self, worker: int) -> float:
+        """Returns the time from which a silent worker runs nothing."""
+        return self._lease_until.get(worker, self._began_at + self._lease_s)
+
+    def follow(self) -> None:
+        """Takes over gangs that were placed or have ended."""
+        for name in list(self._gangs):
+            allotment = self._allotments.get(name)
+            if allotment is None or allotment.epoch != self._gangs[name].epoch:
+                self._forget(name)
+        for name, allotment in self._allotments.items():
+            if allotment.epoch and name not in self._gangs:
+                gang = _Gang(allotment.epoch, allotment.workers)
+                self._gangs[name] = gang
+                for worker in gang.workers:
+                    self._on_worker.setdefault(worker, set()).add(name)
+
+    def report(
+        self,
+        worker: int,
+        incarnation: int,
+        sequence: int,
+        tasks: collections.abc.Iterable[TaskReport],
+    ) -> bool:
+        """Takes in what a worker runs.
+
+        Args:
+            worker: Its number.
+            incarnation: Goes up when the worker restarts.
+            sequence: Goes up with each report of an incarnation.
+            tasks: Everything that it runs or has just ended.
+
+        Returns:
+            Whether the report is newer than those before.
+        """
+        stamp = (incarnation, sequence)
+        if stamp <= self._sequences.get(worker, (-1, -1)):
+            return False
+        self._sequences[worker] = stamp
+        reported = {(task.job, task.epoch): task for task in tasks}
+        for name in self._on_worker.get(worker, ()):
+            gang = self._gangs[name]
+            task = reported.get((name, gang.epoch))
+            self._note(name, gang, worker, task)
+        return True
+
+    def silent(self, workers: collections.abc.Iterable[int]) -> set[int]:
+        """Returns which workers have let their lease lapse."""
+        now_s = time.monotonic()
+        return {w for w in workers if now_s > self.lease_until(w)}
+
+    def grant(self, worker: int, until: float) -> None:
+        """Notes that a worker may run its tasks until a time."""
+        self._lease_until[worker] = max(
+            until, self._lease_until.get(worker, 0.0)
+        )
+
+    def commands(
+        self, worker: int, tasks: collections.abc.Iterable[TaskReport]
+    ) -> list[TaskCommand]:
+        """Returns what a worker should do after a report.
+
+        Args:
+            worker: Its number.
+            tasks: What it reported.
+        """
+        commands = []
+        wanted = self._on_worker.get(worker, set())
+        seen = set()
+        for task in tasks:
+            gang = self._gangs.get(task.job)
+            current = gang is not None and gang.epoch == task.epoch
+            if task.job not in wanted or not current:
+                # An old epoch, or a gang that ended.
+                commands.append(
+                    TaskCommand(Action.STOP, task.job, task.epoch)
+                )
+                continue
+            seen.add(task.job)
+            command = self._next(gang, task)
+            if command is not None:
+                commands.append(command)
+        for name in sorted(wanted - seen):
+            command = self._hold(name, worker)
+            if command is not None:
+                commands.append(command)
+        return commands
+
+    def events(self) -> list[intent.JobEventCommand]:
+        """Returns what has become of gangs since it was last asked."""
+        found = []
+        for name, gang in self._gangs.items():
+            status = self._statuses(name)
+            if status is None or status.epoch != gang.epoch:
+                continue
+            event = self._event(name, gang, status)
+            if event is not None and gang.pending != event.event:
+                gang.pending = event.event
+                found.append(event)
+        return found
+
+    def events_due(self, worker: int) -> bool:
+        """Whether a report of a worker may have brought an event.
+
+        Looks only at the gangs of that worker, since there are many others.
+        """
+        for name in self._on_worker.get(worker, ()):
+            gang = self._gangs[name]
+            status = self._statuses(name)
+            if status is None or status.epoch != gang.epoch:
+                continue
+            event = self._event(name, gang, status)
+            if event is not None and gang.pending != event.event:
+                return True
+        return False
+
+    def retry_events(self) -> None:
+        """Lets events be returned again whose proposal failed."""
+        for gang in self._gangs.values():
+            gang.pending = 0
+
+    # Reports.
+
+    def _note(
+        self, name: str, gang: _Gang, worker: int, task: TaskReport | None
+    ) -> None:
+        position = gang.workers.index(worker)
+        before = gang.states[position]
+        if task is None:
+            # Absent means that it ended, unless it was never held.
+            status = self._statuses(name)
+            holding = status and status.allotment == Allot.HOLDING
+            if before != _UNKNOWN or not holding:
+                gang.states[position] = _GONE
+            return
+        if before == _GONE:
+            return
+        gang.states[position] = _CODES[task.state]
+        gang.progress_ms = max(gang.progress_ms, task.progress_ms)
+        gang.saved_ms = max(gang.saved_ms, task.saved_ms)
+        self._note_usage(name, gang, task)
+
+    def _note_usage(self, name: str, gang: _Gang, task: TaskReport) -> None:
+        allotment = self._allotments[name]
+        members = allotment.gang.members
+        declared_mb = allotment.gang.need.memory_mb * members
+        if task.memory_mb > declared_mb * OVERRUN_FACTOR > 0:
+            gang.overruns += 1
+        else:
+            gang.overruns = 0
+
+    # Commands.
+
+    def _next(self, gang: _Gang, task: TaskReport) -> TaskCommand | None:
+        status = self._statuses(task.job)
+        if status is None or status.epoch != gang.epoch:
+            return TaskCommand(Action.STOP, task.job, task.epoch)
+        match status.allotment:
+            case Allot.RUNNING if task.state is TaskState.HELD:
+                return TaskCommand(
+                    Action.START,
+                    task.job,
+                    task.epoch,
+                    progress_ms=status.progress_ms,
+                )
+            case Allot.RUNNING if gang.overruns:
+                return TaskCommand(Action.THROTTLE, task.job, task.epoch)
+            case Allot.STOPPING:
+                return self._stop(status, gang, task)
+        return None
+
+    def _stop(
+        self, status: intent.JobStatus, gang: _Gang, task: TaskReport
+    ) -> TaskCommand:
+        gentle = (
+            task.state is TaskState.RUNNING
+            and status.reason in (Reason.RECLAIM, Reason.LABELS)
+            and self._allotments[task.job].checkpointable
+            and self._stopping_s(gang) < self._grace_s
+        )
+        action = Action.CHECKPOINT if gentle else Action.STOP
+        return TaskCommand(action, task.job, task.epoch)
+
+    def _stopping_s(self, gang: _Gang) -> float:
+        """Returns for how long a gang has been stopping."""
+        now_s = time.monotonic()
+        if gang.stopping_since is None:
+            gang.stopping_since = now_s
+        return now_s - gang.stopping_since
+
+    def _hold(self, name: str, worker: int) -> TaskCommand | None:
+        status = self._statuses(name)
+        gang = self._gangs[name]
+        if status is None or status.allotment != Allot.HOLDING:
+            return None
+        allotment = self._allotments[name]
+        return TaskCommand(
+            Action.HOLD,
+            name,
+            gang.epoch,
+            members=allotment.workers.count(worker),
+            accelerators=allotment.gang.need.accelerators,
+            progress_ms=status.progress_ms,
+        )
+
+    # Events.
+
+    def _event(
+        self, name: str, gang: _Gang, status: intent.JobStatus
+    ) -> intent.JobEventCommand | None:
+        match status.allotment:
+            case Allot.HOLDING:
+                return self._holding(name, gang)
+            case Allot.RUNNING:
+                return self._running(name, gang)
+            case Allot.STOPPING:
+                return self._stopping(name, gang)
+        return None
+
+    def _holding(
+        self, name: str, gang: _Gang
+    ) -> intent.JobEventCommand | None:
+        if all(state == _HELD for state in gang.states):
+            gang.since = time.monotonic()
+            return self._make(name, gang, Event.STARTED)
+        if self._lost(gang) is not None:
+            return self._make(
+                name, gang, Event.STOPPING, reason=Reason.HOLD_FAILED
+            )
+        if time.monotonic() - gang.since > HOLD_TIMEOUT_S:
+            return self._make(
+                name, gang, Event.STOPPING, reason=Reason.HOLD_FAILED
+            )
+        return None
+
+    def _running(
+        self, name: str, gang: _Gang
+    ) -> intent.JobEventCommand | None:
+        if all(state == _DONE for state in gang.states):
+            return self._make(name, gang, Event.COMPLETED)
+        failed = _CODES[TaskState.FAILED]
+        if failed in gang.states:
+            worker = gang.workers[gang.states.index(failed)]
+            return self._make(
+                name,
+                gang,
+                Event.STOPPING,
+                reason=Reason.MEMBER_FAILED,
+                worker=worker,
+            )
+        lost = self._lost(gang)
+        if lost is not None:
+            return self._make(
+                name,
+                gang,
+                Event.STOPPING,
+                reason=Reason.LEASE_LAPSED,
+                worker=lost,
+            )
+        if gang.overruns >= OVERRUN_REPORTS:
+            return self._make(
+                name, gang, Event.STOPPING, reason=Reason.OVERRUN
+            )
+        return None
+
+    def _lost(self, gang: _Gang) -> int | None:
+        """Returns a worker that no longer runs its members, or None."""
+        now_s = time.monotonic()
+        for position, worker in enumerate(gang.workers):
+            state = gang.states[position]
+            if state == _GONE:
+                return worker
+            if state != _DONE and now_s > self.lease_until(worker):
+                return worker
+        return None
+
+    def _stopping(
+        self, name: str, gang: _Gang
+    ) -> intent.JobEventCommand | None:
+        now_s = time.monotonic()
+        self._stopping_s(gang)
+        if all(state == _DONE for state in gang.states):
+            return self._make(name, gang, Event.COMPLETED)
+        for position, worker in enumerate(gang.workers):
+            stopped = gang.states[position] in (_GONE, _DONE)
+            if not stopped and now_s <= self.lease_until(worker):
+                return None
+        return self._make(
+            name, gang, Event.STOPPED, progress_ms=gang.saved_ms
+        )
+
+    def _make(
+        self,
+        name: str,
+        gang: _Gang,
+        event: int,
+        *,
+        reason: int = Reason.NONE,
+        worker: int | None = None,
+        progress_ms: int = 0,
+    ) -> intent.JobEventCommand:
+        errors.check_invariant(
+            event != Event.STARTED
+            or all(state == _HELD for state in gang.states),
+            'gang %s starts with members missing',
+            name,
+        )
+        return intent.JobEventCommand(
+            job=name,
+            epoch=gang.epoch,
+            event=event,
+            reason=reason,
+            progress_ms=progress_ms,
+            failed_worker='' if worker is None else self._worker_name(worker),
+        )
+
+    def _forget(self, name: str) -> None:
+        gang = self._gangs.pop(name)
+        for worker in gang.workers:
+            jobs = self._on_worker.get(worker, set())
+            jobs.discard(name)
+            if not jobs:
+                self._on_worker.pop(worker, None)
--- /dev/null
+++ b/banyantrack/placement/places.py
@@ -0,0 +1,289 @@
+"""Finds workers for a gang, scored by adjacency and fragmentation."""
+
+from __future__ import annotations
+
+import dataclasses
+import typing
+
+from banyantrack.core import registry
+from banyantrack.core import states
+
+if typing.TYPE_CHECKING:
+    import collections.abc
+
+    from banyantrack.placement import fleet
+
+    # Members that fit on a worker, by worker number; only where any fit.
+    Room = dict[int, int]
+    Score = collections.abc.Callable[
+        [fleet.Fleet, 'Gang', Room], list[int] | None
+    ]
+
+SCORES: registry.Registry[Score] = registry.Registry('placement score')
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Gang:
+    """What a gang asks of its place.
+
+    Attributes:
+        members: How many members it has.
+        need: Resources of each.
+        adjacency: How closely they lie together.
+        selector: Workers that may run them.
+    """
+
+    members: int
+    need: fleet.Need
+    adjacency: states.Adjacency
+    selector: str
+
+    @property
+    def accelerators(self) -> int:
+        """Accelerators of all members."""
+        return self.members * self.need.accelerators
+
+
+def free_room(workers: fleet.Fleet, gang: Gang) -> Room:
+    """Returns where members of a gang fit now."""
+    eligible = workers.eligible(gang.selector)
+    silent = workers.silent
+    wanted = gang.need.accelerators
+    room: Room = {}
+    if wanted:
+        for number, free in enumerate(workers.free_accelerators):
+            if free >= wanted and eligible[number] and number not in silent:
+                fit = workers.members_that_fit(number, gang.need)
+                if fit:
+                    room[number] = fit
+        return room
+    for number in range(len(workers)):
+        if eligible[number] and number not in silent:
+            fit = workers.members_that_fit(number, gang.need)
+            if fit:
+                room[number] = fit
+    return room
+
+
+def empty_room(workers: fleet.Fleet, gang: Gang) -> Room:
+    """Returns where members of a gang would fit without other work."""
+    eligible = workers.eligible(gang.selector)
+    room: Room = {}
+    for number in range(len(workers)):
+        if eligible[number]:
+            fit = workers.members_that_could_fit(number, gang.need)
+            if fit:
+                room[number] = fit
+    return room
+
+
+def domains(
+    workers: fleet.Fleet, adjacency: states.Adjacency, room: Room
+) -> list[list[int]]:
+    """Returns the groups of workers within one of which a gang must lie."""
+    if adjacency is states.Adjacency.WORKER:
+        return [[number] for number in room]
+    if adjacency is states.Adjacency.ANY:
+        return [list(room)]
+    groups: dict[int, list[int]] = {}
+    for number in room:
+        group = workers.rack_of(number)
+        if adjacency is states.Adjacency.ZONE:
+            group = workers.zone_of_rack(group)
+        groups.setdefault(group, []).append(number)
+    return list(groups.values())
+
+
+def fits(workers: fleet.Fleet, gang: Gang, room: Room) -> bool:
+    """Whether the whole gang fits into some room."""
+    return any(
+        sum(room[number] for number in group) >= gang.members
+        for group in domains(workers, gang.adjacency, room)
+    )
+
+
+def _fill(
+    order: collections.abc.Iterable[int], room: Room, members: int
+) -> list[int] | None:
+    """Takes workers in an order until all members have one."""
+    chosen: list[int] = []
+    for number in order:
+        count = min(room[number], members - len(chosen))
+        chosen.extend([number] * count)
+        if len(chosen) == members:
+            return chosen
+    return None
+
+
+@SCORES.register('first-fit')
+def first_fit(
+    workers: fleet.Fleet, gang: Gang, room: Room
+) -> list[int] | None:
+    """Takes the first workers that there are; a baseline."""
+    for group in domains(workers, gang.adjacency, room):
+        chosen = _fill(sorted(group), room, gang.members)
+        if chosen is not None:
+            return chosen
+    return None
+
+
+@SCORES.register('adjacent')
+def adjacent(workers: fleet.Fleet, gang: Gang, room: Room) -> list[int] | None:
+    """Lies closely together and leaves whole workers and racks free.
+
+    A gang that fits on one worker takes the one that it fills best. Else
+    it takes the rack that it fills best, else as few racks as possible.
+    """
+    preferred = {
+        number: fit
+        for number, fit in room.items()
+        if not workers.is_avoided(number)
+    }
+    chosen = _adjacent(workers, gang, preferred)
+    if chosen is None and len(preferred) < len(room):
+        chosen = _adjacent(workers, gang, room)
+    return chosen
+
+
+def _adjacent(
+    workers: fleet.Fleet, gang: Gang, room: Room
+) -> list[int] | None:
+    single = _best_worker(workers, gang, room)
+    if single is not None or gang.adjacency is states.Adjacency.WORKER:
+        return single
+    racks = _rack_room(workers, room)
+    rack = _best_rack(workers, gang, racks)
+    if rack is not None:
+        return _fill_rack(workers, gang, room, racks[rack][1])
+    if gang.adjacency is states.Adjacency.RACK:
+        return None
+    return _fill_racks(workers, gang, room, racks)
+
+
+def _best_worker(
+    workers: fleet.Fleet, gang: Gang, room: Room
+) -> list[int] | None:
+    """Returns the worker with the least left over, in the fullest rack."""
+    free = workers.free_accelerators
+    best = None
+    best_key: tuple[int, int] | None = None
+    for number, fit in room.items():
+        if fit < gang.members:
+            continue
+        if best_key is not None and free[number] > best_key[0]:
+            continue
+        key = (free[number], _rack_free(workers, number))
+        if best_key is None or key < best_key:
+            best, best_key = number, key
+    return None if best is None else [best] * gang.members
+
+
+def _rack_free(workers: fleet.Fleet, number: int) -> int:
+    free = workers.free_accelerators
+    return sum(free[other] for other in workers.racks[workers.rack_of(number)])
+
+
+def _rack_room(
+    workers: fleet.Fleet, room: Room
+) -> dict[int, tuple[int, list[int]]]:
+    """Returns members that fit and workers, by rack."""
+    racks: dict[int, tuple[int, list[int]]] = {}
+    for number, fit in room.items():
+        rack = workers.rack_of(number)
+        total, numbers = racks.get(rack, (0, []))
+        numbers.append(number)
+        racks[rack] = (total + fit, numbers)
+    return racks
+
+
+def _best_rack(
+    workers: fleet.Fleet,
+    gang: Gang,
+    racks: dict[int, tuple[int, list[int]]],
+) -> int | None:
+    """Returns the rack with the least left over."""
+    free = workers.free_accelerators
+    fitting = [
+        (sum(free[number] for number in numbers), rack)
+        for rack, (total, numbers) in racks.items()
+        if total >= gang.members
+    ]
+    return min(fitting)[1] if fitting else None
+
+
+def _fill_rack(
+    workers: fleet.Fleet, gang: Gang, room: Room, numbers: list[int]
+) -> list[int]:
+    """Fills partly used workers first, but none that splits a whole one.
+
+    Whole workers are taken while the gang fills them; the rest goes to the
+    worker with the least left over.
+    """
+    free = workers.free_accelerators
+    by_size = sorted(numbers, key=lambda number: (-room[number], free[number]))
+    chosen: list[int] = []
+    remaining = gang.members
+    for number in by_size:
+        if room[number] <= remaining:
+            chosen.extend([number] * room[number])
+            remaining -= room[number]
+    if remaining:
+        taken = set(chosen)
+        rest = [n for n in by_size if n not in taken]
+        number = min(rest, key=lambda n: (room[n] < remaining, free[n]))
+        chosen.extend([number] * remaining)
+    return chosen
+
+
+def _fill_racks(
+    workers: fleet.Fleet,
+    gang: Gang,
+    room: Room,
+    racks: dict[int, tuple[int, list[int]]],
+) -> list[int] | None:
+    """Takes racks with most room first, within a zone where it must be."""
+    zones: dict[int, list[int]] = {}
+    for rack in racks:
+        zones.setdefault(workers.zone_of_rack(rack), []).append(rack)
+    candidates = sorted(
+        zones.values(),
+        key=lambda group: sum(racks[rack][0] for rack in group),
+    )
+    for group in candidates:
+        if sum(racks[rack][0] for rack in group) >= gang.members:
+            return _take_racks(workers, gang, room, racks, group)
+    if gang.adjacency is states.Adjacency.ZONE:
+        return None
+    if sum(total for total, _ in racks.values()) < gang.members:
+        return None
+    return _take_racks(workers, gang, room, racks, list(racks))
+
+
+def _take_racks(
+    workers: fleet.Fleet,
+    gang: Gang,
+    room: Room,
+    racks: dict[int, tuple[int, list[int]]],
+    group: list[int],
+) -> list[int]:
+    group.sort(key=lambda rack: -racks[rack][0])
+    chosen: list[int] = []
+    for position, rack in enumerate(group):
+        remaining = gang.members - len(chosen)
+        total, numbers = racks[rack]
+        if total <= remaining:
+            for number in numbers:
+                chosen.extend([number] * room[number])
+            if len(chosen) == gang.members:
+                break
+            continue
+        # The rest goes to the rack that it fills best.
+        best = min(
+            (other for other in group[position:]
+             if racks[other][0] >= remaining),
+            key=lambda other: racks[other][0],
+        )
+        rest = dataclasses.replace(gang, members=remaining)
+        chosen.extend(_fill_rack(workers, rest, room, racks[best][1]))
+        break
+    return chosen
--- /dev/null
+++ b/banyantrack/placement/reclaim.py
@@ -0,0 +1,230 @@
+"""Plans which borrowed work gives way, and where the new work goes."""
+
+from __future__ import annotations
+
+import dataclasses
+import typing
+
+from banyantrack.placement import fleet
+from banyantrack.placement import places
+from banyantrack.placement import victims as victims_module
+
+if typing.TYPE_CHECKING:
+    import collections.abc
+
+    from banyantrack.placement import allotments
+
+# Groups of workers that are compared in one plan.
+MAX_GROUPS = 24
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Plan:
+    """Room for one gang.
+
+    Attributes:
+        workers: Worker of each member.
+        victims: Jobs that have to stop first.
+        cost: What their end costs.
+    """
+
+    workers: list[int]
+    victims: tuple[str, ...]
+    cost: float
+
+
+@dataclasses.dataclass(slots=True)
+class Reclaimable:
+    """A gang that could give way.
+
+    Attributes:
+        name: Its job.
+        allotment: Its resources.
+        cost: What its end costs.
+    """
+
+    name: str
+    allotment: allotments.Allotment
+    cost: float
+
+
+class Planner:
+    """Looks for the cheapest victims for one gang.
+
+    Args:
+        workers: The workers.
+        candidates: Gangs that could give way.
+    """
+
+    def __init__(
+        self,
+        workers: fleet.Fleet,
+        candidates: collections.abc.Iterable[Reclaimable],
+    ) -> None:
+        self._fleet = workers
+        self._on_worker: dict[int, list[Reclaimable]] = {}
+        for candidate in candidates:
+            for worker in set(candidate.allotment.workers):
+                self._on_worker.setdefault(worker, []).append(candidate)
+
+    def plan(
+        self,
+        gang: places.Gang,
+        *,
+        only: dict[int, int] | None = None,
+        blocked: collections.abc.Container[int] = frozenset(),
+    ) -> Plan | None:
+        """Returns the cheapest plan found, or None.
+
+        Args:
+            gang: The gang that needs room.
+            only: Most members by worker, where the gang must lie there.
+            blocked: Workers that are reserved for others.
+        """
+        room = self._possible_room(gang, only, blocked)
+        groups = [
+            group
+            for group in places.domains(self._fleet, gang.adjacency, room)
+            if sum(room[worker] for worker in group) >= gang.members
+        ]
+        groups.sort(key=lambda group: self._free_share(gang, group))
+        best: Plan | None = None
+        for group in groups[:MAX_GROUPS]:
+            found = self._plan_group(gang, group, room)
+            if found and (best is None or found.cost < best.cost):
+                best = found
+        return best
+
+    def _possible_room(
+        self,
+        gang: places.Gang,
+        only: dict[int, int] | None,
+        blocked: collections.abc.Container[int],
+    ) -> places.Room:
+        eligible = self._fleet.eligible(gang.selector)
+        numbers = range(len(self._fleet)) if only is None else only
+        room = {}
+        for worker in numbers:
+            if not eligible[worker] or worker in blocked:
+                continue
+            if worker in self._fleet.silent:
+                continue
+            fit = self._fit(worker, gang, self._on_worker.get(worker, ()))
+            if only is not None:
+                fit = min(fit, only[worker])
+            if fit:
+                room[worker] = fit
+        return room
+
+    def _fit(
+        self,
+        worker: int,
+        gang: places.Gang,
+        gone: collections.abc.Iterable[Reclaimable],
+    ) -> int:
+        """Returns members that fit on a worker once some gangs are gone."""
+        free = self._fleet.free_of(worker)
+        accelerators, processors, memory_mb = free
+        for candidate in gone:
+            count = candidate.allotment.workers.count(worker)
+            need = candidate.allotment.gang.need
+            accelerators += count * need.accelerators
+            processors += count * need.processors
+            memory_mb += count * need.memory_mb
+        return fleet.members_in(
+            gang.need, accelerators, processors, memory_mb
+        )
+
+    def _free_share(self, gang: places.Gang, group: list[int]) -> int:
+        """Orders groups by how much is missing in them."""
+        free = self._fleet.free_accelerators
+        return -min(sum(free[worker] for worker in group), gang.accelerators)
+
+    def _plan_group(
+        self, gang: places.Gang, group: list[int], room: places.Room
+    ) -> Plan | None:
+        """Takes the cheapest workers of a group."""
+        priced = sorted(
+            (self._worker_cost(worker, gang, room[worker]), worker)
+            for worker in group
+        )
+        chosen: list[int] = []
+        for _, worker in priced:
+            count = min(room[worker], gang.members - len(chosen))
+            chosen.extend([worker] * count)
+            if len(chosen) == gang.members:
+                break
+        victims = self._victims(gang, chosen)
+        if victims is None:
+            return None
+        return Plan(
+            workers=chosen,
+            victims=tuple(sorted(victims)),
+            cost=sum(victims.values()),
+        )
+
+    def _worker_cost(
+        self, worker: int, gang: places.Gang, fit: int
+    ) -> tuple[float, int]:
+        """Returns the cost for each member of emptying a worker."""
+        if self._fit(worker, gang, ()) >= fit:
+            return (0.0, fit)
+        cost = sum(c.cost for c in self._on_worker.get(worker, ()))
+        return (cost / fit, fit)
+
+    def _victims(
+        self, gang: places.Gang, chosen: list[int]
+    ) -> dict[str, float] | None:
+        """Returns as few victims as make room, cheapest first."""
+        gone: dict[str, Reclaimable] = {}
+        for worker in sorted(set(chosen)):
+            wanted = chosen.count(worker)
+            here = [
+                c for c in self._on_worker.get(worker, ()) if c.name in gone
+            ]
+            rest = sorted(
+                (
+                    c
+                    for c in self._on_worker.get(worker, ())
+                    if c.name not in gone
+                ),
+                key=lambda c: (c.cost, c.name),
+            )
+            while self._fit(worker, gang, here) < wanted:
+                if not rest:
+                    return None
+                here.append(rest.pop(0))
+            gone.update((candidate.name, candidate) for candidate in here)
+        return {name: candidate.cost for name, candidate in gone.items()}
+
+
+def cost_of(
+    name: str,
+    allotment: allotments.Allotment,
+    *,
+    cost: victims_module.Cost,
+    lost_ms: float,
+    reclaims: int,
+    over_share: float,
+    started_ms: int,
+) -> Reclaimable:
+    """Returns a gang with what its end costs.
+
+    Args:
+        name: Its job.
+        allotment: Its resources.
+        cost: The registered choice.
+        lost_ms: Work since its last checkpoint.
+        reclaims: How often it gave way already.
+        over_share: Its owner's use relative to the weight.
+        started_ms: When it started.
+    """
+    candidate = victims_module.Candidate(
+        name=name,
+        accelerators=max(allotment.gang.accelerators, 1),
+        lost_ms=lost_ms,
+        reclaims=reclaims,
+        over_share=over_share,
+        started_ms=started_ms,
+    )
+    return Reclaimable(name, allotment, cost(candidate))
--- /dev/null
+++ b/banyantrack/placement/scheduler.py
@@ -0,0 +1,778 @@
+"""Decides which waiting job starts where, and which work stops for it."""
+
+from __future__ import annotations
+
+import array
+import collections
+import dataclasses
+import time
+import typing
+
+from banyantrack.core import findings
+from banyantrack.core import states
+from banyantrack.generated.intent import ttypes as intent
+from banyantrack.placement import allotments
+from banyantrack.placement import attribution
+from banyantrack.placement import estimates
+from banyantrack.placement import places
+from banyantrack.placement import queues
+from banyantrack.placement import reasons
+from banyantrack.placement import reclaim
+from banyantrack.placement import victims as victims_module
+from banyantrack.placement import witness as witness_module
+
+if typing.TYPE_CHECKING:
+    import collections.abc
+
+    from banyantrack.intent import state as state_module
+
+Event = intent.JobEvent
+Phase = intent.JobPhase
+Reason = intent.StopReason
+
+# Jobs that one round looks at; the rest waits for the next round.
+JOBS_PER_ROUND = 256
+# Time between two looks at the deadlines of all jobs.
+DEADLINE_CHECK_MS = 1000
+# Jobs that start in one round, so that one command stays small.
+STARTS_PER_ROUND = 64
+BACKOFF_MS = 1000
+MAX_BACKOFF_MS = 60_000
+# Reclaimed work waits this long before it may borrow again, so that it does
+# not come back onto what was just reclaimed.
+RECLAIM_BACKOFF_MS = 2000
+# A plan to reclaim is given up after this time without its room.
+PLAN_TIMEOUT_S = 30.0
+# How long a kept start for a job that waits for room stands.
+HEAD_REFRESH_S = 2.0
+# Gangs from this share of the biggest rack on keep room for themselves.
+HEAD_SHARE = 0.5
+
+
+@dataclasses.dataclass(slots=True)
+class Decisions:
+    """What one round decided.
+
+    Attributes:
+        places: Gangs that get workers.
+        events: Gangs that have to stop, and jobs that are given up.
+    """
+
+    places: list[intent.PlaceCommand]
+    events: list[intent.JobEventCommand]
+
+    def __bool__(self) -> bool:
+        return bool(self.places or self.events)
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Policies:
+    """Names of registered policies."""
+
+    score: str = 'adjacent'
+    victims: str = 'least-loss'
+    queue: str = 'aged-shortest'
+    backfill: bool = True
+
+
+@dataclasses.dataclass(slots=True)
+class _Reservation:
+    """Workers that are kept for a job while others stop."""
+
+    workers: list[int]
+    gang: places.Gang
+    guarantee: str
+    victims: tuple[str, ...]
+    made_at: float
+
+
+@dataclasses.dataclass(slots=True)
+class _Head:
+    """A large job that others may not delay."""
+
+    name: str
+    workers: frozenset[int]
+    start_in_ms: float
+    made_at: float
+
+
+class Progress(typing.Protocol):
+    """What is known of running work."""
+
+    def progress_ms(self, job: str) -> int:
+        """Returns how long a job has run in all."""
+
+    def unsaved_ms(self, job: str) -> int:
+        """Returns the work of a job since its last checkpoint."""
+
+
+class Scheduler:
+    """Placement decisions of the leader.
+
+    Args:
+        state: The replicated state.
+        progress: What is known of running work.
+        policies: Names of registered policies.
+        default_selector: Selector that every placement has.
+    """
+
+    def __init__(
+        self,
+        state: state_module.IntentState,
+        progress: Progress,
+        *,
+        policies: Policies = Policies(),
+        default_selector: str = '!down',
+    ) -> None:
+        self._state = state
+        self._progress = progress
+        self._policies = policies
+        self._ledger = allotments.Ledger(state, default_selector)
+        self._estimates = estimates.Estimates()
+        self._attribution = attribution.Attribution()
+        self._score = places.SCORES.get(policies.score)
+        self._order = queues.ORDERS.get(policies.queue)
+        self._cost = victims_module.COSTS.get(policies.victims)
+        self._reservations: dict[str, _Reservation] = {}
+        self._reasons: dict[str, str] = {}
+        self._head: _Head | None = None
+        self._deadlines_checked_ms = 0
+        self._labels_checked = -1
+        self._never_generation = -1
+        self._never_reasons: dict[places.Gang, str] = {}
+
+    @property
+    def ledger(self) -> allotments.Ledger:
+        """Use of the fleet."""
+        return self._ledger
+
+    @property
+    def attribution(self) -> attribution.Attribution:
+        """Failures of jobs and workers."""
+        return self._attribution
+
+    def infeasible(self) -> dict[str, int]:
+        """Returns the shapes that have no proof, by guarantee."""
+        return self._ledger.witness.infeasible
+
+    def reason(self, job: str) -> str:
+        """Returns why a job waits."""
+        return self._reasons.get(job, 'waits for the next placement round')
+
+    def note_completed(self, name: str, observed_ms: int) -> None:
+        """Learns from a job that ran to its end."""
+        job = self._ledger.job(name)
+        allotment = self._ledger.allotments.get(name)
+        if job is not None:
+            self._estimates.observe(
+                job.customer, job.run_time_ms, observed_ms
+            )
+        if allotment is not None:
+            workers = set(allotment.workers)
+            for worker in self._attribution.succeed(name, workers):
+                self._ledger.fleet.avoid(worker, False)
+
+    def note_failure(self, name: str, worker: int) -> None:
+        """Learns from a member that failed."""
+        if self._attribution.fail(name, worker):
+            self._ledger.fleet.avoid(worker, True)
+
+    def check_guarantees(
+        self, changed: collections.abc.Iterable[intent.StoredObject]
+    ) -> list[findings.Finding]:
+        """Returns which new guarantees no workers could hold together.
+
+        Args:
+            changed: Objects of a change that is not applied yet.
+        """
+        self._ledger.sync()
+        found = []
+        for stored in changed:
+            if stored.guarantee is None or stored.deleted:
+                continue
+            guarantee = stored.guarantee
+            used = self._ledger.used_by_guarantee[stored.name]
+            asked = guarantee.count * guarantee.accelerators
+            entitlement = witness_module.Entitlement(
+                guarantee=stored.name,
+                shape=guarantee.accelerators,
+                remaining=max(asked - used, 0),
+                adjacency=states.Adjacency(guarantee.adjacency),
+                selector=guarantee.selector or '',
+            )
+            change = witness_module.Change({}, entitlement)
+            if self._ledger.witness.allows(change):
+                continue
+            fleet = self._ledger.fleet
+            eligible = fleet.eligible(entitlement.selector)
+            capacity = sum(
+                count
+                for worker, count in enumerate(fleet.accelerators)
+                if eligible[worker]
+            )
+            found.append(
+                findings.Finding(
+                    f'guarantees/{stored.name}',
+                    f'got {guarantee.count} shapes of'
+                    f' {guarantee.accelerators} accelerators on one'
+                    f' {guarantee.adjacency}; its selector matches'
+                    f' {sum(eligible)} workers with {capacity}, and no'
+                    ' choice among them leaves every guarantee its shapes',
+                )
+            )
+        return found
+
+    def decide(self, now_ms: int) -> Decisions:
+        """Runs one round on the state as it is now.
+
+        The caller proposes the result and calls again after it is applied.
+
+        Args:
+            now_ms: The time, in milliseconds since 1970.
+        """
+        self._ledger.sync()
+        for worker in self._attribution.expired():
+            self._ledger.fleet.avoid(worker, False)
+        decisions = Decisions([], [])
+        if now_ms - self._deadlines_checked_ms >= DEADLINE_CHECK_MS:
+            self._deadlines_checked_ms = now_ms
+            self._end_overdue(decisions, now_ms)
+        labels = self._ledger.fleet.label_generation
+        if labels != self._labels_checked:
+            self._labels_checked = labels
+            self._move_excluded(decisions)
+        self._drop_reservations()
+        self._start_waiting(decisions, now_ms)
+        return decisions
+
+    # Work that has to stop.
+
+    def _end_overdue(self, decisions: Decisions, now_ms: int) -> None:
+        for name in list(self._ledger.waiting) + list(self._ledger.allotments):
+            job = self._ledger.job(name)
+            status = self._state.jobs.get(name)
+            if job is None or not job.deadline_ms or status is None:
+                continue
+            if now_ms < status.submitted_ms + job.deadline_ms:
+                continue
+            if status.phase == Phase.WAITING:
+                self._ledger.waiting.pop(name, None)
+                self._add_event(decisions, status, Event.GIVEN_UP)
+            elif status.allotment != intent.AllotmentState.STOPPING:
+                self._add_event(decisions, status, Event.STOPPING)
+
+    def _add_event(
+        self,
+        decisions: Decisions,
+        status: intent.JobStatus,
+        event: int,
+        reason: int = Reason.DEADLINE,
+    ) -> None:
+        decisions.events.append(
+            intent.JobEventCommand(
+                job=status.job,
+                epoch=status.epoch,
+                event=event,
+                reason=reason,
+                progress_ms=0,
+                failed_worker='',
+            )
+        )
+
+    def _move_excluded(self, decisions: Decisions) -> None:
+        """Stops gangs on workers that labels exclude by now.
+
+        Work that would lose everything stays, since excluding a worker
+        from new work does not make its running work fail.
+        """
+        fleet = self._ledger.fleet
+        for name, allotment in self._ledger.allotments.items():
+            eligible = fleet.eligible(allotment.gang.selector)
+            if all(eligible[worker] for worker in allotment.workers):
+                continue
+            job = self._ledger.job(name)
+            status = self._state.jobs.get(name)
+            if job is None or status.epoch != allotment.epoch:
+                continue
+            if status.allotment == intent.AllotmentState.STOPPING:
+                continue
+            if job.checkpointable or status.allotment == (
+                intent.AllotmentState.HOLDING
+            ):
+                self._add_event(
+                    decisions, status, Event.STOPPING, Reason.LABELS
+                )
+
+    def _drop_reservations(self) -> None:
+        now_s = time.monotonic()
+        for name, reservation in list(self._reservations.items()):
+            if (
+                name not in self._ledger.waiting
+                or now_s - reservation.made_at > PLAN_TIMEOUT_S
+            ):
+                del self._reservations[name]
+
+    # Waiting jobs.
+
+    def _start_waiting(self, decisions: Decisions, now_ms: int) -> None:
+        order = self._ordered(now_ms)
+        if not order:
+            self._head = None
+            return
+        refused: set[tuple[object, ...]] = set()
+        head_seen = False
+        for position, name in enumerate(order):
+            if position >= JOBS_PER_ROUND:
+                self._reasons[name] = reasons.not_considered(position)
+                continue
+            if len(decisions.places) >= STARTS_PER_ROUND:
+                break
+            started = self._consider(decisions, name, now_ms, refused)
+            if started or head_seen or not self._policies.backfill:
+                if not started and not self._policies.backfill:
+                    # Without backfill nothing may pass the first job.
+                    break
+                continue
+            head_seen = self._keep_room(name)
+        if not head_seen:
+            self._head = None
+        self._forget_reasons()
+
+    def _forget_reasons(self) -> None:
+        if len(self._reasons) > 2 * len(self._ledger.waiting) + 64:
+            self._reasons = {
+                name: text
+                for name, text in self._reasons.items()
+                if name in self._ledger.waiting
+            }
+
+    def _ordered(self, now_ms: int) -> list[str]:
+        keyed = []
+        shares: dict[str, float] = {}
+        covered: dict[tuple[str, int], bool] = {}
+        total = max(self._ledger.fleet.total_accelerators, 1)
+        for name, status in self._ledger.waiting.items():
+            job = self._ledger.job(name)
+            customer = job.customer
+            if customer not in shares:
+                used = self._ledger.used_by_customer[customer]
+                shares[customer] = (
+                    used / total / self._ledger.weight(customer)
+                )
+            asked = job.members * job.accelerators
+            key = (customer, asked)
+            if key not in covered:
+                covered[key] = bool(self._charge(customer, asked))
+            keyed.append(
+                (
+                    self._order(
+                        queues.WaitingJob(
+                            name=name,
+                            urgent=job.urgent,
+                            entitled=covered[key],
+                            waited_ms=now_ms - status.submitted_ms,
+                            remaining_ms=self._estimates.remaining_ms(
+                                customer, job.run_time_ms, status.progress_ms
+                            ),
+                            accelerators=asked,
+                            share=shares[customer],
+                            submitted_ms=status.submitted_ms,
+                        )
+                    ),
+                    name,
+                )
+            )
+        keyed.sort()
+        return [name for _, name in keyed]
+
+    def _charge(self, customer: str, accelerators: int) -> str:
+        """Returns a guarantee that covers some work, or ''."""
+        if not accelerators:
+            return ''
+        for name in self._ledger.guarantees_of(customer):
+            if self._ledger.entitlement_after(name, accelerators) is not None:
+                return name
+        return ''
+
+    def _consider(
+        self,
+        decisions: Decisions,
+        name: str,
+        now_ms: int,
+        refused: set[tuple[object, ...]],
+    ) -> bool:
+        """Starts a job if it can; returns whether it did."""
+        status = self._ledger.waiting[name]
+        job = self._ledger.job(name)
+        left_ms = self._backoff_left(status, now_ms)
+        if left_ms > 0:
+            self._reasons[name] = reasons.backoff(left_ms, status.attempts)
+            return False
+        gang = allotments.gang_of(job)
+        guarantee = self._charge(job.customer, gang.accelerators)
+        signature = (gang, guarantee, job.urgent, job.customer)
+        if signature in refused and name not in self._reservations:
+            self._reasons[name] = self._reasons.get(
+                name, reasons.no_room(self._ledger.fleet, gang, {})
+            )
+            return False
+        problem = self._may_not_start(job, gang, guarantee)
+        if problem:
+            self._reasons[name] = self._never(gang) or problem
+            return False
+        workers = self._find(name, job, gang, guarantee)
+        if workers is not None:
+            self._start(decisions, name, job, guarantee, workers)
+            return True
+        if guarantee or job.urgent:
+            self._reclaim(decisions, name, job, gang, guarantee, now_ms)
+        refused.add(signature)
+        return False
+
+    def _backoff_left(self, status: intent.JobStatus, now_ms: int) -> float:
+        if status.reason == Reason.RECLAIM:
+            pause_ms = RECLAIM_BACKOFF_MS
+        elif status.attempts:
+            pause_ms = min(BACKOFF_MS << status.attempts, MAX_BACKOFF_MS)
+        elif status.reason == Reason.HOLD_FAILED:
+            pause_ms = BACKOFF_MS
+        else:
+            return 0
+        return status.phase_since_ms + pause_ms - now_ms
+
+    def _may_not_start(
+        self, job: intent.Job, gang: places.Gang, guarantee: str
+    ) -> str:
+        asked = gang.accelerators
+        used = self._ledger.used_by_customer[job.customer]
+        quota = self._ledger.quota(job.customer)
+        if quota and used + asked > quota:
+            return reasons.quota(job.customer, used, asked, quota)
+        if guarantee or job.checkpointable or job.restartable:
+            return ''
+        left = sum(
+            entitlement.remaining
+            for name in self._ledger.guarantees_of(job.customer)
+            if (entitlement := self._ledger.entitlement_after(name, 0))
+        )
+        return reasons.may_not_borrow(job.customer, asked, left)
+
+    def _find(
+        self, name: str, job: intent.Job, gang: places.Gang, guarantee: str
+    ) -> list[int] | None:
+        """Returns free workers for a gang, or None with the reason noted."""
+        fleet = self._ledger.fleet
+        reservation = self._reservations.get(name)
+        if reservation is not None:
+            return self._find_reserved(name, reservation)
+        room = self._room(gang, name, job)
+        workers = self._score(fleet, gang, room)
+        if workers is None:
+            never = self._never(gang)
+            text = never or reasons.no_room(fleet, gang, room)
+            if not never and self._head and self._head.name != name:
+                at_s = self._head.start_in_ms / 1000
+                if places.fits(fleet, gang, places.free_room(fleet, gang)):
+                    text = reasons.behind(self._head.name, at_s)
+            self._reasons[name] = text
+            return None
+        if guarantee and not self._witness_allows(gang, guarantee, workers):
+            workers = self._on_shapes(gang, guarantee, room)
+            if workers is None:
+                self._reasons[name] = reasons.guarantees(gang.accelerators)
+        return workers
+
+    def _never(self, gang: places.Gang) -> str:
+        """Returns why a gang could not even run on empty workers, or ''."""
+        generation = self._ledger.fleet.label_generation
+        if generation != self._never_generation:
+            self._never_generation = generation
+            self._never_reasons.clear()
+        if gang not in self._never_reasons:
+            self._never_reasons[gang] = reasons.never(
+                self._ledger.fleet, gang
+            )
+        return self._never_reasons[gang]
+
+    def _find_reserved(
+        self, name: str, reservation: _Reservation
+    ) -> list[int] | None:
+        """Returns the reserved workers once they are free."""
+        fleet = self._ledger.fleet
+        gang = reservation.gang
+        for worker, count in collections.Counter(reservation.workers).items():
+            if fleet.members_that_fit(worker, gang.need) < count:
+                return None
+        del self._reservations[name]
+        eligible = fleet.eligible(gang.selector)
+        allowed = all(eligible[worker] for worker in reservation.workers)
+        if allowed and reservation.guarantee:
+            allowed = self._witness_allows(
+                gang, reservation.guarantee, reservation.workers
+            )
+        return reservation.workers if allowed else None
+
+    def _room(
+        self, gang: places.Gang, name: str, job: intent.Job
+    ) -> places.Room:
+        """Returns free room less what is kept for other jobs."""
+        room = places.free_room(self._ledger.fleet, gang)
+        for other, reservation in self._reservations.items():
+            if other != name:
+                for worker in reservation.workers:
+                    room.pop(worker, None)
+        head = self._head
+        if head is not None and head.name != name and not job.urgent:
+            status = self._ledger.waiting[name]
+            remaining_ms = self._estimates.remaining_ms(
+                job.customer, job.run_time_ms, status.progress_ms
+            )
+            if remaining_ms > head.start_in_ms:
+                for worker in head.workers:
+                    room.pop(worker, None)
+        return room
+
+    def _witness_allows(
+        self, gang: places.Gang, guarantee: str, workers: list[int]
+    ) -> bool:
+        change = witness_module.Change(
+            allotments.slots_of(workers, gang),
+            self._ledger.entitlement_after(guarantee, gang.accelerators),
+        )
+        return self._ledger.witness.allows(change)
+
+    def _shape_room(
+        self, gang: places.Gang, guarantee: str
+    ) -> places.Room:
+        """Returns members that fit on the witness of a guarantee."""
+        slots: dict[int, int] = collections.Counter()
+        for shape in self._ledger.witness.shapes(guarantee):
+            slots.update(shape.slots)
+        wanted = max(gang.need.accelerators, 1)
+        return {
+            worker: count // wanted
+            for worker, count in slots.items()
+            if count >= wanted
+        }
+
+    def _on_shapes(
+        self, gang: places.Gang, guarantee: str, room: places.Room
+    ) -> list[int] | None:
+        """Returns free workers within the guarantee's own witness."""
+        own = {
+            worker: min(fit, room[worker])
+            for worker, fit in self._shape_room(gang, guarantee).items()
+            if worker in room
+        }
+        workers = self._score(self._ledger.fleet, gang, own)
+        if workers and self._witness_allows(gang, guarantee, workers):
+            return workers
+        return None
+
+    def _start(
+        self,
+        decisions: Decisions,
+        name: str,
+        job: intent.Job,
+        guarantee: str,
+        workers: list[int],
+    ) -> None:
+        status = self._ledger.waiting[name]
+        numbers = array.array('H', workers)
+        decisions.places.append(
+            intent.PlaceCommand(
+                job=name,
+                workers=numbers.tobytes(),
+                guarantee=guarantee,
+                job_revision=status.revision,
+            )
+        )
+        self._ledger.grant(
+            name, allotments.Allotment(0, numbers, job, guarantee)
+        )
+        self._reasons.pop(name, None)
+        if guarantee:
+            self._ledger.witness.repair()
+            self._ledger.witness.check()
+
+    # Room for large jobs.
+
+    def _keep_room(self, name: str) -> bool:
+        """Keeps a start for the first job that waits for room.
+
+        Returns:
+            Whether it does.
+        """
+        if not self._reasons.get(name, '').startswith('waits for room'):
+            return False
+        if name in self._reservations:
+            return False
+        gang = allotments.gang_of(self._ledger.job(name))
+        fleet = self._ledger.fleet
+        biggest = max(
+            (
+                sum(fleet.accelerators[worker] for worker in rack)
+                for rack in fleet.racks
+            ),
+            default=0,
+        )
+        if gang.accelerators < HEAD_SHARE * min(biggest, 16):
+            return False
+        now_s = time.monotonic()
+        head = self._head
+        if (
+            head is not None
+            and head.name == name
+            and now_s - head.made_at < HEAD_REFRESH_S
+        ):
+            return True
+        self._head = self._plan_head(name, gang, now_s)
+        return self._head is not None
+
+    def _plan_head(
+        self, name: str, gang: places.Gang, now_s: float
+    ) -> _Head | None:
+        """Returns the workers on which a gang can start soonest."""
+        fleet = self._ledger.fleet
+        busy_ms = self._busy_ms()
+        room = places.empty_room(fleet, gang)
+        best: tuple[float, list[int]] | None = None
+        for group in places.domains(fleet, gang.adjacency, room):
+            found = _soonest(group, room, busy_ms, gang.members)
+            if found and (best is None or found[0] < best[0]):
+                best = found
+        if best is None:
+            return None
+        return _Head(name, frozenset(best[1]), best[0], now_s)
+
+    def _busy_ms(self) -> dict[int, float]:
+        """Returns how long each worker is expected to have work."""
+        busy: dict[int, float] = {}
+        for name, allotment in self._ledger.allotments.items():
+            job = self._ledger.job(name)
+            if job is None:
+                continue
+            left_ms = self._estimates.remaining_ms(
+                job.customer,
+                job.run_time_ms,
+                self._progress.progress_ms(name),
+            )
+            for worker in set(allotment.workers):
+                if left_ms > busy.get(worker, 0.0):
+                    busy[worker] = left_ms
+        return busy
+
+    # Reclaim.
+
+    def _reclaim(
+        self,
+        decisions: Decisions,
+        name: str,
+        job: intent.Job,
+        gang: places.Gang,
+        guarantee: str,
+        now_ms: int,
+    ) -> None:
+        """Stops borrowed work so that a job can start soon."""
+        if name in self._reservations:
+            reservation = self._reservations[name]
+            self._note_reclaiming(name, reservation.victims)
+            return
+        plan = self._plan_reclaim(gang, guarantee, job.urgent)
+        if plan is None:
+            return
+        self._reservations[name] = _Reservation(
+            workers=plan.workers,
+            gang=gang,
+            guarantee=guarantee,
+            victims=plan.victims,
+            made_at=time.monotonic(),
+        )
+        for victim in plan.victims:
+            status = self._state.jobs.get(victim)
+            self._add_event(
+                decisions, status, Event.STOPPING, Reason.RECLAIM
+            )
+        self._note_reclaiming(name, plan.victims)
+
+    def _note_reclaiming(self, name: str, victims: tuple[str, ...]) -> None:
+        accelerators = sum(
+            self._ledger.allotments[victim].gang.accelerators
+            for victim in victims
+            if victim in self._ledger.allotments
+        )
+        self._reasons[name] = reasons.reclaiming(len(victims), accelerators)
+
+    def _plan_reclaim(
+        self, gang: places.Gang, guarantee: str, urgent: bool
+    ) -> reclaim.Plan | None:
+        planner = reclaim.Planner(
+            self._ledger.fleet, self._reclaimable(urgent)
+        )
+        blocked = {
+            worker
+            for reservation in self._reservations.values()
+            for worker in reservation.workers
+        }
+        plan = planner.plan(gang, blocked=blocked)
+        if not guarantee:
+            return plan
+        if plan and self._witness_allows(gang, guarantee, plan.workers):
+            return plan
+        plan = planner.plan(
+            gang, only=self._shape_room(gang, guarantee), blocked=blocked
+        )
+        if plan and self._witness_allows(gang, guarantee, plan.workers):
+            return plan
+        return None
+
+    def _reclaimable(
+        self, urgent: bool
+    ) -> collections.abc.Iterator[reclaim.Reclaimable]:
+        """Yields gangs that may give way.
+
+        Urgent borrowed work gives way to a guarantee, but not to other
+        urgent work.
+        """
+        total = max(self._ledger.fleet.total_accelerators, 1)
+        for name, allotment in self._ledger.allotments.items():
+            if not allotment.borrowed or not allotment.epoch:
+                continue
+            if urgent and allotment.urgent:
+                continue
+            status = self._state.jobs.get(name)
+            used = self._ledger.used_by_customer[allotment.customer]
+            if status.allotment == intent.AllotmentState.STOPPING:
+                # It frees its workers anyway.
+                yield reclaim.Reclaimable(name, allotment, 0.0)
+                continue
+            yield reclaim.cost_of(
+                name,
+                allotment,
+                cost=self._cost,
+                lost_ms=self._progress.unsaved_ms(name),
+                reclaims=status.reclaims,
+                over_share=used
+                / total
+                / self._ledger.weight(allotment.customer),
+                started_ms=status.started_ms,
+            )
+
+
+def _soonest(
+    group: list[int],
+    room: places.Room,
+    busy_ms: dict[int, float],
+    members: int,
+) -> tuple[float, list[int]] | None:
+    """Returns when enough of a group's workers are free, and which."""
+    order = sorted(group, key=lambda w: (busy_ms.get(w, 0.0), -room[w]))
+    chosen = []
+    for worker in order:
+        chosen.append(worker)
+        members -= room[worker]
+        if members <= 0:
+            return busy_ms.get(worker, 0.0), chosen
+    return None
+
+
--- a/schema/intent.thrift
+++ b/schema/intent.thrift
@@ -67,6 +67,17 @@
   7: optional i32 queue_limit (default = "256", min = "1", max = "100000")
 }
 
+// A worker as it describes itself; its number stays while it is known.
+struct Worker {
+  1: required string zone (form = "name")
+  2: required string rack (form = "name")
+  3: required i32 accelerators (min = "0", max = "64")
+  4: required i32 processors (min = "0", max = "4096")
+  5: required i64 memory_mb (min = "0", max = "67108864")
+  6: optional i32 number (default = "0", min = "0", max = "65535")
+  7: optional map<string, string> own_labels
+}
+
 // Labels of one worker or backend, set by operators or the monitoring group.
 struct LabelSet {
   1: map<string, string> labels
@@ -74,7 +85,7 @@
 
 enum ObjectKind {
   CUSTOMER = 1, GUARANTEE = 2, JOB = 3, ROUTE = 4,
-  WORKER_LABELS = 5, BACKEND_LABELS = 6
+  WORKER_LABELS = 5, BACKEND_LABELS = 6, WORKER = 7
 }
 
 // One object; exactly one of the bodies is set.
@@ -88,6 +99,7 @@
   7: optional Route route
   8: optional LabelSet labels
   9: bool deleted
+  10: optional Worker worker
 }
 
 // A change of one object. `if_match` is 0 for any revision, -1 for "must not
@@ -130,20 +142,20 @@
 
 enum AllotmentState { NONE = 0, HOLDING = 1, RUNNING = 2, STOPPING = 3 }
 
-struct GangMember {
-  1: string worker
-  2: i32 accelerators
-}
-
 // Places a gang; its epoch is the index of the log entry.
 struct PlaceCommand {
   1: string job
-  2: list<GangMember> members
-  3: bool borrowed
+  // Numbers of the workers, one for each member, two bytes each.
+  2: binary workers
+  // Guarantee that the job is charged to; empty if it borrows.
+  3: string guarantee
   4: i64 job_revision
 }
 
-enum JobEvent { STARTED = 1, STOPPING = 2, STOPPED = 3, COMPLETED = 4 }
+enum JobEvent {
+  STARTED = 1, STOPPING = 2, STOPPED = 3, COMPLETED = 4,
+  GIVEN_UP = 5
+}
 
 enum StopReason {
   NONE = 0, RECLAIM = 1, MEMBER_FAILED = 2, LEASE_LAPSED = 3, CANCELLED = 4,
@@ -167,6 +179,7 @@
   5: optional ClaimReleaseCommand claim_release
   6: optional list<PlaceCommand> place
   7: optional list<JobEventCommand> job_events
+  8: optional list<StoredObject> workers
 }
 
 enum Verdict {
@@ -227,8 +240,8 @@
   3: i64 submitted_ms
   4: i64 epoch
   5: AllotmentState allotment
-  6: list<GangMember> members
-  7: bool borrowed
+  6: binary workers
+  7: string guarantee
   8: i64 started_ms
   9: i64 finished_ms
   10: i32 attempts
@@ -238,6 +251,8 @@
   14: i32 reclaims
   15: list<string> failed_workers
   16: i64 revision
+  // Kept while a deleted job still has its workers.
+  17: optional Job spec
 }
 
 struct IntentSnapshot {
