--- a/banyantrack/cli/daemon.py
+++ b/banyantrack/cli/daemon.py
@@ -6,6 +6,7 @@
 import collections.abc
 import contextlib
 import logging
+import os
 import pathlib
 import signal
 import socket
@@ -70,6 +71,7 @@
     Returns:
         The exit code.
     """
+    errors.set_invariant_hook(_end_process)
     try:
         curio.run(_run, make)
     except (errors.BanyanError, OSError, ExceptionGroup) as error:
@@ -84,6 +86,15 @@
     return Exit.DONE
 
 
+def _end_process(error: errors.InvariantError) -> None:
+    """Ends the process at once, since nothing it says can be trusted."""
+    logs.event(
+        _LOG, 'invariant_broken', level=logging.CRITICAL, error=error
+    )
+    logging.shutdown()
+    os._exit(Exit.REFUSED)
+
+
 async def _run(make: collections.abc.Callable[[], Daemon]) -> None:
     stop = curio.Event()
     daemon = make()
--- a/banyantrack/core/documents.py
+++ b/banyantrack/core/documents.py
@@ -170,6 +170,8 @@
                 values[field.name] = self.make(field.struct)
             elif field.type == 'list':
                 values[field.name] = []
+            elif field.type == 'map':
+                values[field.name] = {}
             else:
                 values[field.name] = field.default
         return getattr(self._types, struct)(**values)
--- a/banyantrack/daemons/control.py
+++ b/banyantrack/daemons/control.py
@@ -15,7 +15,6 @@
 from banyantrack.core import metrics as metrics_module
 from banyantrack.daemons import leadership
 from banyantrack.daemons import operator_api
-from banyantrack.daemons import problems
 from banyantrack.daemons import rollout as rollout_module
 from banyantrack.daemons import worker_api
 from banyantrack.generated.cluster import ttypes as cluster
@@ -28,6 +27,7 @@
 from banyantrack.replication import storage as storage_module
 from banyantrack.transport import http
 from banyantrack.transport import http_server
+from banyantrack.transport import problems
 from banyantrack.transport import rpc
 
 if typing.TYPE_CHECKING:
@@ -202,15 +202,7 @@
     def _check_role(
         self, request: cluster.OperatorRequest
     ) -> cluster.OperatorReply | None:
-        path = urllib.parse.urlsplit(request.target).path
-        authorization = request.headers.get('authorization', '')
-        if self._auth.allows(authorization, request.method, path):
-            return None
-        return problems.reply(
-            401,
-            'got no token that allows this',
-            headers={'www-authenticate': 'Bearer'},
-        )
+        return check_role(self._auth, request)
 
     # HTTP from workers and operators.
 
@@ -263,6 +255,21 @@
         await send_reply(request, await self._operators.answer(asked))
 
 
+def check_role(
+    authenticator: auth.Authenticator, request: cluster.OperatorRequest
+) -> cluster.OperatorReply | None:
+    """Returns a refusal if the token does not allow a request, or None."""
+    path = urllib.parse.urlsplit(request.target).path
+    authorization = request.headers.get('authorization', '')
+    if authenticator.allows(authorization, request.method, path):
+        return None
+    return problems.reply(
+        401,
+        'got no token that allows this',
+        headers={'www-authenticate': 'Bearer'},
+    )
+
+
 async def to_operator_request(
     request: http_server.Request,
     check: typing.Callable[
--- a/banyantrack/daemons/operator_api.py
+++ b/banyantrack/daemons/operator_api.py
@@ -15,7 +15,6 @@
 from banyantrack.core import registry
 from banyantrack.core import states
 from banyantrack.daemons import leadership
-from banyantrack.daemons import problems
 from banyantrack.daemons import views
 from banyantrack.generated.cluster import ttypes as cluster
 from banyantrack.generated.intent import ttypes as intent
@@ -23,6 +22,7 @@
 from banyantrack.intent import objects
 from banyantrack.intent import state as state_module
 from banyantrack.replication import errors as replication_errors
+from banyantrack.transport import problems
 
 if typing.TYPE_CHECKING:
     import collections.abc
--- a/banyantrack/daemons/rollout.py
+++ b/banyantrack/daemons/rollout.py
@@ -92,7 +92,7 @@
         if not self._replica.ready:
             raise self.not_leader()
         self._note(request)
-        if request.from_revision == 0:
+        if request.from_revision < 0:
             return await self._whole()
         deadline = time.monotonic() + request.wait_ms / 1000
         while True:
@@ -127,7 +127,7 @@
             name=request.entry,
             address=request.entry_address,
             http_address=request.http_address,
-            revision=request.from_revision,
+            revision=max(request.from_revision, 0),
             heard_at=time.monotonic(),
         )
 
@@ -144,6 +144,7 @@
             full=True,
             revision=self._state.revision,
             objects=self._state.of_kind(*ENTRY_KINDS),
+            entries=self._addresses(),
         )
 
     def _changes(self, revision: int) -> cluster.WatchReply:
@@ -158,4 +159,12 @@
             full=False,
             revision=self._state.revision,
             objects=[c for c in changes if c.kind in ENTRY_KINDS],
+            entries=self._addresses(),
         )
+
+    def _addresses(self) -> list[str]:
+        return [
+            entry.address
+            for entry in self._entries.values()
+            if not entry.silent
+        ]
--- a/banyantrack/daemons/worker_api.py
+++ b/banyantrack/daemons/worker_api.py
@@ -235,4 +235,5 @@
         'members': command.members,
         'accelerators': command.accelerators,
         'progress_ms': command.progress_ms,
+        'parameters': command.parameters or {},
     }
--- /dev/null
+++ b/banyantrack/dispatch/__init__.py
@@ -0,0 +1,1 @@
+"""Requests: admission, balancing, attempts, claims."""
--- /dev/null
+++ b/banyantrack/membership/__init__.py
@@ -0,0 +1,1 @@
+"""What an entry knows: configuration, backends, other entries."""
--- a/banyantrack/placement/allotments.py
+++ b/banyantrack/placement/allotments.py
@@ -30,10 +30,12 @@
         guarantee: Guarantee that it is charged to; empty if it borrows.
         urgent: Whether it was urgent.
         checkpointable: Whether it can write a checkpoint.
+        parameters: What its workers are told.
     """
 
     __slots__ = (
         'checkpointable',
+        'parameters',
         'epoch',
         'workers',
         'gang',
@@ -56,6 +58,7 @@
         self.guarantee = guarantee
         self.urgent = job.urgent
         self.checkpointable = job.checkpointable
+        self.parameters = job.parameters or None
 
     @property
     def borrowed(self) -> bool:
--- a/banyantrack/placement/gangs.py
+++ b/banyantrack/placement/gangs.py
@@ -75,6 +75,7 @@
     members: int = 0
     accelerators: int = 0
     progress_ms: int = 0
+    parameters: dict[str, str] | None = None
 
 
 class _Gang:
@@ -367,6 +368,7 @@
             members=allotment.workers.count(worker),
             accelerators=allotment.gang.need.accelerators,
             progress_ms=status.progress_ms,
+            parameters=allotment.parameters,
         )
 
     # Events.
--- /dev/null
+++ b/banyantrack/testing/system.py
@@ -0,0 +1,380 @@
+"""A whole system of real daemons on loopback, for demo, soak and benchmarks."""
+
+from __future__ import annotations
+
+import json
+import os
+import pathlib
+import shutil
+import signal
+import socket
+import subprocess
+import sys
+import time
+import typing
+
+import curio
+import yaml
+
+from banyantrack.transport import http_client
+
+if typing.TYPE_CHECKING:
+    import collections.abc
+
+READY_TIMEOUT_S = 20.0
+STOP_TIMEOUT_S = 15.0
+
+
+def free_ports(count: int) -> list[int]:
+    """Returns ports that were free a moment ago."""
+    sockets = []
+    for _ in range(count):
+        sock = socket.socket()
+        sock.bind(('127.0.0.1', 0))
+        sockets.append(sock)
+    ports = [sock.getsockname()[1] for sock in sockets]
+    for sock in sockets:
+        sock.close()
+    return ports
+
+
+class Process:
+    """One daemon as a process of its own.
+
+    Args:
+        name: Its name.
+        module: Module that is run.
+        folder: Where its settings and log lie.
+        settings: Its settings.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        module: str,
+        folder: pathlib.Path,
+        settings: dict[str, typing.Any],
+    ) -> None:
+        self.name = name
+        self.settings = settings
+        self._module = module
+        self._config = folder / f'{name}.yaml'
+        self._log = folder / f'{name}.log'
+        self._process: subprocess.Popen | None = None
+        settings.setdefault('logging', {})['file'] = str(self._log)
+        self.write()
+
+    @property
+    def log(self) -> pathlib.Path:
+        """Its log."""
+        return self._log
+
+    @property
+    def http_address(self) -> str:
+        """Its HTTP address."""
+        return self.settings['http_address']
+
+    @property
+    def rpc_address(self) -> str:
+        """Its RPC address."""
+        return self.settings['rpc_address']
+
+    @property
+    def pid(self) -> int:
+        """Its process id; 0 while it does not run."""
+        return self._process.pid if self._process else 0
+
+    @property
+    def running(self) -> bool:
+        """Whether it runs."""
+        return self._process is not None and self._process.poll() is None
+
+    def write(self) -> None:
+        """Writes the settings."""
+        self._config.write_text(yaml.safe_dump(self.settings))
+
+    def bootstrap(self) -> None:
+        """Runs `bootstrap` to its end."""
+        self._run_once('bootstrap')
+
+    def start(self) -> None:
+        """Starts it."""
+        command = [sys.executable, '-m', self._module]
+        command += ['--config', str(self._config)]
+        with self._log.open('a') as log:
+            self._process = subprocess.Popen(
+                command, stdout=log, stderr=log, stdin=subprocess.DEVNULL
+            )
+
+    def kill(self) -> None:
+        """Ends it at once."""
+        if self.running:
+            self._process.kill()
+            self._process.wait()
+
+    def pause(self) -> None:
+        """Stops it without ending it."""
+        os.kill(self.pid, signal.SIGSTOP)
+
+    def resume(self) -> None:
+        """Lets it go on."""
+        os.kill(self.pid, signal.SIGCONT)
+
+    def terminate(self) -> None:
+        """Asks it to stop."""
+        if self.running:
+            self._process.terminate()
+
+    def wait(self, timeout_s: float = STOP_TIMEOUT_S) -> int:
+        """Waits for its end; returns the exit code.
+
+        Raises:
+            subprocess.TimeoutExpired: If it does not end.
+        """
+        return self._process.wait(timeout_s)
+
+    def wipe(self) -> None:
+        """Removes its data folder."""
+        shutil.rmtree(self.settings['data_folder'], ignore_errors=True)
+
+    def cpu_s(self) -> float:
+        """Returns the processor time that it has used."""
+        fields = pathlib.Path(f'/proc/{self.pid}/stat').read_text().split()
+        ticks = int(fields[13]) + int(fields[14])
+        return ticks / os.sysconf('SC_CLK_TCK')
+
+    def rss_mb(self) -> float:
+        """Returns its resident memory."""
+        status = pathlib.Path(f'/proc/{self.pid}/status').read_text()
+        for line in status.splitlines():
+            if line.startswith('VmRSS'):
+                return int(line.split()[1]) / 1024
+        return 0.0
+
+    def _run_once(self, *arguments: str) -> None:
+        command = [sys.executable, '-m', self._module, *arguments]
+        command += ['--config', str(self._config)]
+        subprocess.run(command, check=True, stdout=subprocess.DEVNULL)
+
+
+class System:
+    """Control members and entries on loopback.
+
+    Args:
+        folder: Where everything lies.
+        control: How many control members.
+        entries: How many entries.
+        control_settings: Added to the settings of control members.
+        entry_settings: Added to the settings of entries.
+    """
+
+    def __init__(
+        self,
+        folder: pathlib.Path,
+        *,
+        control: int = 3,
+        entries: int = 6,
+        control_settings: dict[str, typing.Any] | None = None,
+        entry_settings: dict[str, typing.Any] | None = None,
+    ) -> None:
+        ports = free_ports(2 * (control + entries))
+        addresses = [f'127.0.0.1:{port}' for port in ports]
+        members = [
+            {'name': f'c{number + 1}', 'address': addresses[2 * number]}
+            for number in range(control)
+        ]
+        self.control = [
+            Process(
+                member['name'],
+                'banyantrack.cli.control',
+                folder,
+                {
+                    'name': member['name'],
+                    'zone': 'abc'[number % 3],
+                    'rpc_address': member['address'],
+                    'http_address': addresses[2 * number + 1],
+                    'data_folder': str(folder / member['name']),
+                    'members': members,
+                    **json.loads(json.dumps(control_settings or {})),
+                },
+            )
+            for number, member in enumerate(members)
+        ]
+        rest = addresses[2 * control :]
+        self.entries = [
+            Process(
+                f'e{number + 1}',
+                'banyantrack.cli.entry',
+                folder,
+                {
+                    'name': f'e{number + 1}',
+                    'zone': 'abc'[number % 3],
+                    'rpc_address': rest[2 * number],
+                    'http_address': rest[2 * number + 1],
+                    'control': [m['address'] for m in members],
+                    **json.loads(json.dumps(entry_settings or {})),
+                },
+            )
+            for number in range(entries)
+        ]
+
+    @property
+    def processes(self) -> list[Process]:
+        """All daemons."""
+        return [*self.control, *self.entries]
+
+    @property
+    def control_http(self) -> list[str]:
+        """HTTP addresses of control members."""
+        return [process.http_address for process in self.control]
+
+    @property
+    def entry_http(self) -> list[str]:
+        """HTTP addresses of entries."""
+        return [process.http_address for process in self.entries]
+
+    async def start(self) -> None:
+        """Starts everything and waits until it is ready.
+
+        Raises:
+            TimeoutError: If it does not become ready.
+        """
+        self.control[0].bootstrap()
+        for process in self.processes:
+            process.start()
+        await self.wait_voters(len(self.control))
+        await self.wait_entries()
+
+    async def wait_voters(self, count: int) -> None:
+        """Waits until the group has some reachable voters."""
+
+        async def complete() -> bool:
+            members = await self.get('/v1/members')
+            if members is None or members['changing']:
+                return False
+            reachable = [
+                m
+                for m in members['members']
+                if m['reachable'] and m['role'] != 'learner'
+            ]
+            return len(reachable) >= count
+
+        await wait_for(complete, 'voters')
+
+    async def wait_entries(self) -> None:
+        """Waits until each running entry has its configuration."""
+
+        async def ready() -> bool:
+            for process in self.entries:
+                if not process.running:
+                    continue
+                answer = await ask(process.http_address, 'GET', '/healthz')
+                if answer is None or answer.status != 200:
+                    return False
+            return True
+
+        await wait_for(ready, 'entries')
+
+    async def get(self, target: str) -> typing.Any:
+        """Reads from the operators' interface; None without an answer."""
+        answer = await self.operate('GET', target)
+        if answer is None or answer.status != 200:
+            return None
+        return json.loads(answer.body)
+
+    async def operate(
+        self,
+        method: str,
+        target: str,
+        document: object = None,
+        headers: collections.abc.Sequence[tuple[str, str]] = (),
+    ) -> http_client.Answer | None:
+        """Makes an operator's request at the leader; None without one."""
+        body = b'' if document is None else json.dumps(document).encode()
+        for address in self.control_http:
+            answer = await ask(address, method, target, body, headers)
+            if answer is not None and answer.status == 307:
+                location = answer.header('location') or ''
+                leader = location.split('/')[2]
+                answer = await ask(leader, method, target, body, headers)
+            if answer is not None and answer.status not in (307, 503):
+                return answer
+        return None
+
+    async def apply(self, documents: list[dict[str, typing.Any]]) -> int:
+        """Applies objects; returns the revision.
+
+        Raises:
+            RuntimeError: If they are refused.
+        """
+        for _ in range(50):
+            answer = await self.operate('POST', '/v1/apply', documents)
+            if answer is not None:
+                break
+            await curio.sleep(0.1)
+        if answer is None or answer.status != 200:
+            raise RuntimeError(answer.body if answer else 'no answer')
+        return json.loads(answer.body)['revision']
+
+    async def leader(self) -> Process | None:
+        """Returns the leading member, or None."""
+        status = await self.get('/v1/status')
+        if status is None:
+            return None
+        return next(p for p in self.control if p.name == status['leader'])
+
+    def stop(self) -> None:
+        """Ends everything that was started."""
+        for process in self.processes:
+            if process.running:
+                process.resume()
+                process.terminate()
+        deadline = time.monotonic() + STOP_TIMEOUT_S
+        for process in self.processes:
+            if process.pid:
+                try:
+                    process.wait(max(deadline - time.monotonic(), 0.1))
+                except subprocess.TimeoutExpired:
+                    process.kill()
+
+
+async def ask(
+    address: str,
+    method: str,
+    target: str,
+    body: bytes = b'',
+    headers: collections.abc.Sequence[tuple[str, str]] = (),
+    *,
+    timeout_s: float = 5.0,
+) -> http_client.Answer | None:
+    """Makes one request on a fresh connection; None without an answer."""
+    client = http_client.HttpClient(address)
+    try:
+        return await client.request(
+            method, target, headers=headers, body=body, timeout_s=timeout_s
+        )
+    except http_client.HttpError:
+        return None
+    finally:
+        await client.close()
+
+
+async def wait_for(
+    condition: collections.abc.Callable[
+        [], collections.abc.Awaitable[bool]
+    ],
+    what: str,
+    *,
+    timeout_s: float = READY_TIMEOUT_S,
+) -> float:
+    """Waits for a condition; returns after how many seconds it held.
+
+    Raises:
+        TimeoutError: If it does not hold in time.
+    """
+    started_at = time.monotonic()
+    while not await condition():
+        if time.monotonic() - started_at > timeout_s:
+            raise TimeoutError(f'{what} in {timeout_s} s')
+        await curio.sleep(0.05)
+    return time.monotonic() - started_at
--- a/banyantrack/transport/http.py
+++ b/banyantrack/transport/http.py
@@ -4,6 +4,7 @@
 
 import collections.abc
 import socket
+import struct
 import typing
 
 import curio
@@ -132,6 +133,21 @@
             return False
         return _peek(self._socket) is None
 
+    def reset(self) -> None:
+        """Makes the coming close a reset instead of an orderly end."""
+        self._socket.setsockopt(
+            socket.SOL_SOCKET, socket.SO_LINGER, struct.pack('ii', 1, 0)
+        )
+
+    def shut_down(self) -> None:
+        """Ends both directions, so that a task that waits wakes up."""
+        try:
+            with self._socket.blocking() as raw:
+                raw.setblocking(False)
+                raw.shutdown(socket.SHUT_RDWR)
+        except OSError:
+            pass
+
     def peer_left(self) -> bool:
         """Whether the other end has closed or reset the connection."""
         return _peek(self._socket) == b''
--- a/banyantrack/transport/http_server.py
+++ b/banyantrack/transport/http_server.py
@@ -185,6 +185,10 @@
         """Starts to accept connections."""
         await self._listener.start()
 
+    def start_closing(self) -> None:
+        """Closes each connection after its next answer."""
+        self._stopping = True
+
     async def stop_accepting(self) -> None:
         """Accepts no more; requests in progress go on, idle ones end."""
         self._stopping = True
--- a/banyantrack/transport/listener.py
+++ b/banyantrack/transport/listener.py
@@ -10,6 +10,7 @@
 import curio
 from curio import io
 
+from banyantrack.core import errors
 from banyantrack.core import logs
 from banyantrack.transport import addresses
 
@@ -131,6 +132,8 @@
             logs.event(
                 _LOG, 'connection_lost', level=logging.DEBUG, error=error
             )
+        except errors.InvariantError as error:
+            errors.invariant_broken(error)
         finally:
             self._tasks.discard(task)
             await client.close()
--- a/banyantrack/transport/rpc.py
+++ b/banyantrack/transport/rpc.py
@@ -228,6 +228,8 @@
             logs.event(
                 _LOG, 'reply_lost', level=logging.DEBUG, error=error
             )
+        except errors.InvariantError as error:
+            errors.invariant_broken(error)
 
     async def _answer(
         self, stream: FrameStream, frame: cluster.Frame, handler: Handler
--- a/schema/cluster.thrift
+++ b/schema/cluster.thrift
@@ -26,7 +26,7 @@
 }
 
 // Asks for changes after `from_revision`; waits for one up to `wait_ms`.
-// `from_revision` of 0 asks for the whole state.
+// `from_revision` of -1 asks for the whole configuration.
 struct WatchRequest {
   1: string entry
   2: i64 from_revision
@@ -40,6 +40,8 @@
   1: bool full
   2: i64 revision
   3: list<intent.StoredObject> objects
+  // RPC addresses of entries that follow.
+  4: list<string> entries
 }
 
 struct CommandRequest {
@@ -82,24 +84,30 @@
 struct BackendLoad {
   1: string backend_id
   2: i32 in_flight
+  3: i32 long_in_flight
 }
 
 struct GossipRequest {
   1: string entry
   2: string address
-  3: string zone
-  4: i64 incarnation
-  5: i64 revision
-  6: bool leaving
-  7: list<BackendLoad> loads
+  3: i64 incarnation
+  4: i64 revision
+  5: bool leaving
+  6: list<BackendLoad> loads
+  // Requests in flight and waiting, averaged over a short time.
+  7: double demand
   8: list<Announcement> announcements
   9: list<i32> announcement_ages_ms
   10: list<intent.StoredObject> objects
   11: i64 objects_from_revision
   12: list<string> peers
+  13: i64 control_age_ms
 }
 
 struct GossipReply {
   1: i64 revision
   2: string entry
+  3: i64 incarnation
+  // Set when the receiver lacks announcements that were sent before.
+  4: bool wants_all
 }
--- a/schema/intent.thrift
+++ b/schema/intent.thrift
@@ -48,6 +48,8 @@
   12: optional i32 retry_limit (default = "3", min = "0", max = "1000")
   // Time after submission when the result is of no more use; 0 for never.
   13: optional i64 deadline_ms (default = "0", min = "0", max = "31536000000")
+  // Passed on to the workers as they are.
+  14: optional map<string, string> parameters
 }
 
 struct Route {
