--- a/banyantrack/cli/daemon.py
+++ b/banyantrack/cli/daemon.py
@@ -88,9 +88,7 @@
 
 def _end_process(error: errors.InvariantError) -> None:
     """Ends the process at once, since nothing it says can be trusted."""
-    logs.event(
-        _LOG, 'invariant_broken', level=logging.CRITICAL, error=error
-    )
+    logs.event(_LOG, 'invariant_broken', level=logging.CRITICAL, error=error)
     logging.shutdown()
     os._exit(Exit.REFUSED)
 
--- /dev/null
+++ b/banyantrack/cli/tables.py
@@ -0,0 +1,238 @@
+"""Tables that are read at a glance."""
+
+from __future__ import annotations
+
+import datetime
+import typing
+
+if typing.TYPE_CHECKING:
+    import collections.abc
+
+    Document = dict[str, typing.Any]
+
+COLUMN_GAP = '  '
+
+
+def render(
+    header: collections.abc.Sequence[str],
+    rows: collections.abc.Iterable[collections.abc.Sequence[object]],
+) -> str:
+    """Returns a table with aligned columns."""
+    lines = [[str(cell) for cell in row] for row in (header, *rows)]
+    widths = [max(map(len, column)) for column in zip(*lines, strict=True)]
+    return '\n'.join(
+        COLUMN_GAP.join(
+            cell.ljust(width) for cell, width in zip(line, widths, strict=True)
+        ).rstrip()
+        for line in lines
+    )
+
+
+def age(since_ms: int) -> str:
+    """Returns how long ago a time was, in one unit."""
+    now = datetime.datetime.now(datetime.timezone.utc).timestamp()
+    return duration(max(now - since_ms / 1000, 0))
+
+
+def duration(seconds: float) -> str:
+    """Returns a duration in one unit."""
+    for size, unit in ((86400, 'd'), (3600, 'h'), (60, 'm')):
+        if seconds >= 2 * size:
+            return f'{int(seconds // size)}{unit}'
+    return f'{seconds:.0f}s'
+
+
+def _customers(items: list[Document]) -> str:
+    return render(
+        ('NAME', 'WEIGHT', 'QUOTA', 'REVISION'),
+        [
+            (
+                item['name'],
+                item['weight'],
+                item['quota_accelerators'] or '-',
+                item['revision'],
+            )
+            for item in items
+        ],
+    )
+
+
+def _guarantees(items: list[Document]) -> str:
+    rows = []
+    for item in items:
+        status = item.get('status', {})
+        missing = status.get('infeasible_shapes', 0)
+        rows.append(
+            (
+                item['name'],
+                item['customer'],
+                f'{item["count"]}x{item["accelerators"]}',
+                item['adjacency'],
+                item['selector'] or '-',
+                status.get('used_accelerators', '?'),
+                status.get('reclaimable_shapes', '?'),
+                f'{missing} WITHOUT WORKERS' if missing else 'ok',
+            )
+        )
+    return render(
+        (
+            'NAME',
+            'CUSTOMER',
+            'SHAPES',
+            'WITHIN',
+            'SELECTOR',
+            'USED',
+            'RECLAIMABLE',
+            'STATE',
+        ),
+        rows,
+    )
+
+
+def _jobs(items: list[Document]) -> str:
+    rows = []
+    for item in items:
+        status = item.get('status', {})
+        rows.append(
+            (
+                item['name'],
+                item.get('customer', '-'),
+                f'{item.get("members", "?")}x{item.get("accelerators", "?")}',
+                status.get('state', status.get('phase', '?')),
+                age(status.get('submitted_ms', 0)),
+                'urgent' if item.get('urgent') else '-',
+                status.get('why') or status.get('reason') or '-',
+            )
+        )
+    return render(
+        ('NAME', 'CUSTOMER', 'GANG', 'STATE', 'AGE', 'CLASS', 'WHY'), rows
+    )
+
+
+def _routes(items: list[Document]) -> str:
+    return render(
+        ('NAME', 'PREFIX', 'CLASS', 'DEADLINE', 'SELECTOR', 'CUSTOMER'),
+        [
+            (
+                item['name'],
+                item['prefix'],
+                item['service_class'],
+                f'{item["deadline_ms"]}ms',
+                item['selector'] or '-',
+                item['customer'] or '-',
+            )
+            for item in items
+        ],
+    )
+
+
+def _labels(items: list[Document]) -> str:
+    return render(
+        ('NAME', 'LABELS'),
+        [(item['name'], label_text(item['labels'])) for item in items],
+    )
+
+
+def _workers(items: list[Document]) -> str:
+    rows = []
+    for item in items:
+        status = item.get('status', {})
+        state = 'silent' if status.get('silent') else 'reporting'
+        if status.get('avoided'):
+            state += ',avoided'
+        rows.append(
+            (
+                item['name'],
+                item['zone'],
+                item['rack'],
+                f'{status.get("free_accelerators", "?")}'
+                f'/{item["accelerators"]}',
+                state,
+                label_text(status.get('labels', {})),
+            )
+        )
+    return render(('NAME', 'ZONE', 'RACK', 'FREE', 'STATE', 'LABELS'), rows)
+
+
+def label_text(labels: dict[str, str]) -> str:
+    """Returns labels as key=value pairs."""
+    pairs = [f'{key}={value}' for key, value in sorted(labels.items())]
+    return ','.join(pairs) or '-'
+
+
+KIND_TABLES: dict[str, typing.Callable[[list[Document]], str]] = {
+    'customers': _customers,
+    'guarantees': _guarantees,
+    'jobs': _jobs,
+    'routes': _routes,
+    'worker-labels': _labels,
+    'backend-labels': _labels,
+    'workers': _workers,
+}
+
+
+def members(document: Document) -> str:
+    """Returns the members of the control group."""
+    rows = [
+        (
+            member['name'],
+            member['id'],
+            member['address'],
+            member['role'],
+            'yes' if member['reachable'] else 'NO',
+            member['synced'],
+        )
+        for member in document['members']
+    ]
+    table = render(
+        ('NAME', 'ID', 'ADDRESS', 'ROLE', 'REACHABLE', 'SYNCED'), rows
+    )
+    losses = document['survivable_losses']
+    return f'{table}\nfurther losses survivable now: {losses}'
+
+
+def rollout(document: Document) -> str:
+    """Returns which entry has which revision in force."""
+    rows = [
+        (
+            entry['name'],
+            entry['address'],
+            entry['revision'],
+            'SILENT' if entry['silent'] else 'ok',
+        )
+        for entry in document['entries']
+    ]
+    table = render(('ENTRY', 'ADDRESS', 'IN FORCE', 'STATE'), rows)
+    return f'revision accepted: {document["revision"]}\n{table}'
+
+
+def status(document: Document) -> str:
+    """Returns the state of the whole system."""
+    jobs = ', '.join(
+        f'{count} {phase}' for phase, count in document['jobs'].items()
+    )
+    workers = document.get('workers', {})
+    accelerators = document.get('accelerators', {})
+    lines = [
+        f'leader        {document["leader"]}, term {document["term"]}',
+        f'revision      {document["revision"]}',
+        f'jobs          {jobs or "none"}',
+        f'workers       {workers.get("known", "?")} known,'
+        f' {len(workers.get("silent", []))} silent,'
+        f' {len(workers.get("avoided", []))} avoided',
+        f'accelerators  {accelerators.get("free", "?")} free of'
+        f' {accelerators.get("total", "?")},'
+        f' {accelerators.get("borrowed", "?")} borrowed',
+    ]
+    for label in ('silent', 'avoided'):
+        names = workers.get(label, [])
+        if names:
+            lines.append(f'  {label}: {", ".join(names[:10])}')
+    infeasible = document.get('infeasible_guarantees') or {}
+    for name, count in infeasible.items():
+        lines.append(
+            f'GUARANTEE {name}: {count} shapes have no workers to reclaim'
+        )
+    lines += ['', members(document['control'])]
+    lines += ['', rollout(document['rollout'])]
+    return '\n'.join(lines)
--- a/banyantrack/core/documents.py
+++ b/banyantrack/core/documents.py
@@ -229,7 +229,9 @@
         Adds findings if the node is no map or has a key twice.
         """
         if not isinstance(node, yaml.MappingNode):
-            self._found.add(self.place(node), f'got {_kind(node)}; valid is a map')
+            self._found.add(
+                self.place(node), f'got {_kind(node)}; valid is a map'
+            )
             return {}
         pairs: dict[str, tuple[yaml.Node, yaml.Node]] = {}
         for key, value in node.value:
@@ -301,7 +303,9 @@
             )
         if field.element == 'struct':
             return [self.struct(item, field.struct) for item in node.value]
-        return [self._scalar(item, field, field.element) for item in node.value]
+        return [
+            self._scalar(item, field, field.element) for item in node.value
+        ]
 
     def _scalar(
         self, node: yaml.Node, field: FieldModel, type_name: str
--- a/banyantrack/core/metrics.py
+++ b/banyantrack/core/metrics.py
@@ -124,9 +124,7 @@
 
 
 def _escape(value: str) -> str:
-    return (
-        value.replace('\\', r'\\').replace('"', r'\"').replace('\n', r'\n')
-    )
+    return value.replace('\\', r'\\').replace('"', r'\"').replace('\n', r'\n')
 
 
 def _braces(labels: str) -> str:
--- a/banyantrack/daemons/control.py
+++ b/banyantrack/daemons/control.py
@@ -165,7 +165,9 @@
     def _add_gauges(self) -> None:
         replica = self._replica
         self._metrics.gauge('banyan_term', lambda: replica.term)
-        self._metrics.gauge('banyan_commit_index', lambda: replica.commit_index)
+        self._metrics.gauge(
+            'banyan_commit_index', lambda: replica.commit_index
+        )
         self._metrics.gauge('banyan_leads', lambda: float(replica.is_leader))
         self._metrics.gauge('banyan_revision', lambda: self._state.revision)
         self._metrics.gauge('banyan_jobs', lambda: len(self._state.jobs))
@@ -316,9 +318,7 @@
                 leader_address=error.leader_address,
             )
         case replication_errors.UnknownOutcomeError():
-            return rpc.CallError(
-                cluster.ErrorCode.UNKNOWN_OUTCOME, str(error)
-            )
+            return rpc.CallError(cluster.ErrorCode.UNKNOWN_OUTCOME, str(error))
     return rpc.CallError(cluster.ErrorCode.NOT_APPLIED, str(error))
 
 
@@ -348,5 +348,3 @@
         for key, value in reply.headers.items()
     ]
     await request.respond(reply.status, headers, reply.body)
-
-
--- a/banyantrack/daemons/leadership.py
+++ b/banyantrack/daemons/leadership.py
@@ -99,9 +99,7 @@
         """Runs one round; returns what to propose, or None."""
         self.refresh()
         self._check_silence()
-        decisions = self._scheduler.decide(
-            max(now_ms(), self._state.clock_ms)
-        )
+        decisions = self._scheduler.decide(max(now_ms(), self._state.clock_ms))
         events = decisions.events + self._tracker.events()
         if not decisions.places and not events:
             return None
@@ -187,9 +185,7 @@
         """Starts a round soon."""
         await self._work.notify()
 
-    async def register(
-        self, name: str, worker: intent.Worker
-    ) -> int:
+    async def register(self, name: str, worker: intent.Worker) -> int:
         """Makes a worker known, if it is new or has changed.
 
         Returns:
@@ -205,9 +201,7 @@
                 return worker.number
         kind = objects.BY_NUMBER[intent.ObjectKind.WORKER]
         stored = objects.make(kind, name, worker)
-        await self.propose(
-            intent.Command(now_ms=now_ms(), workers=[stored])
-        )
+        await self.propose(intent.Command(now_ms=now_ms(), workers=[stored]))
         await self._work.notify()
         stored = self._state.get(intent.ObjectKind.WORKER, name)
         return stored.worker.number
--- a/banyantrack/daemons/operator_api.py
+++ b/banyantrack/daemons/operator_api.py
@@ -48,7 +48,10 @@
 _PATTERNS: list[tuple[str, re.Pattern[str]]] = [
     ('list', re.compile(rf'/v1/(?P<kind>{_KINDS})')),
     ('object', re.compile(rf'/v1/(?P<kind>{_KINDS})/(?P<name>[^/]+)')),
-    ('labels', re.compile(r'/v1/labels/(?P<of>workers|backends)/(?P<name>[^/]+)')),
+    (
+        'labels',
+        re.compile(r'/v1/labels/(?P<of>workers|backends)/(?P<name>[^/]+)'),
+    ),
     ('apply', re.compile(r'/v1/apply')),
     ('status', re.compile(r'/v1/status')),
     ('rollout', re.compile(r'/v1/rollout')),
@@ -97,18 +100,14 @@
         Raises:
             NotLeaderError: If this member does not lead.
         """
-        path = urllib.parse.unquote(
-            urllib.parse.urlsplit(request.target).path
-        )
+        path = urllib.parse.unquote(urllib.parse.urlsplit(request.target).path)
         for name, pattern in _PATTERNS:
             match = pattern.fullmatch(path)
             if match is None:
                 continue
             route = f'{request.method} {name}'
             if route not in set(ROUTES):
-                return problems.reply(
-                    405, f'got {request.method} for {path}'
-                )
+                return problems.reply(405, f'got {request.method} for {path}')
             return await self._run(
                 ROUTES.get(route), request, match.groupdict()
             )
@@ -123,9 +122,7 @@
         try:
             return await handler(self, request, parameters)
         except findings.FindingsError as error:
-            return problems.reply(
-                422, error.message, found=error.findings
-            )
+            return problems.reply(422, error.message, found=error.findings)
         except replication_errors.NotAppliedError as error:
             return problems.reply(
                 503, f'not applied: {error}', headers={'retry-after': '1'}
@@ -382,9 +379,7 @@
     parameters: dict[str, str],
 ) -> cluster.OperatorReply:
     kind = f'{parameters["of"].removesuffix("s")}-labels'
-    return await _get(
-        api, request, {'kind': kind, 'name': parameters['name']}
-    )
+    return await _get(api, request, {'kind': kind, 'name': parameters['name']})
 
 
 async def _put_body(
@@ -556,5 +551,3 @@
         await api.replica.change_voters(add=add, remove=remove)
     logs.event(_LOG, 'members_changed', added=add, removed=remove)
     return _json(200, views.members_view(api))
-
-
--- a/banyantrack/dispatch/attempts.py
+++ b/banyantrack/dispatch/attempts.py
@@ -163,7 +163,9 @@
             async with curio.timeout_after(left_s):
                 return await self._receive()
         except curio.TaskTimeout:
-            raise self._failure('no answer before the deadline', True) from None
+            raise self._failure(
+                'no answer before the deadline', True
+            ) from None
 
     async def next_data(self) -> bytes | None:
         """Returns the next piece of a body that did not come whole.
--- a/banyantrack/dispatch/dispatcher.py
+++ b/banyantrack/dispatch/dispatcher.py
@@ -22,8 +22,6 @@
 from banyantrack.generated.intent import ttypes as intent
 
 if typing.TYPE_CHECKING:
-    import collections.abc
-
     from banyantrack.generated.settings import ttypes as settings_types
     from banyantrack.membership import backends as backends_module
     from banyantrack.membership import config as config_module
@@ -292,8 +290,10 @@
             return LONG
         times = self.run_times(route)
         usual_s = self._quick_times.median_s
-        if times.trusted and usual_s and (
-            times.median_s > LONG_FACTOR * usual_s
+        if (
+            times.trusted
+            and usual_s
+            and (times.median_s > LONG_FACTOR * usual_s)
         ):
             return LONG
         return QUICK
@@ -431,9 +431,7 @@
         waiter.target = self._choose(request)
         return waiter.target is not None
 
-    def _shortest_run_s(
-        self, request: requests_module.CallerRequest
-    ) -> float:
+    def _shortest_run_s(self, request: requests_module.CallerRequest) -> float:
         return self.run_times(request.route).median_s
 
     async def _wait(
--- a/banyantrack/dispatch/pools.py
+++ b/banyantrack/dispatch/pools.py
@@ -80,7 +80,9 @@
             await pooled.connection.close()
         return await self.open(address, timeout_s=timeout_s)
 
-    async def open(self, address: str, *, timeout_s: float) -> PooledConnection:
+    async def open(
+        self, address: str, *, timeout_s: float
+    ) -> PooledConnection:
         """Opens a fresh connection.
 
         Raises:
@@ -99,7 +101,10 @@
     async def give_back(self, pooled: PooledConnection) -> None:
         """Keeps a connection whose answer came whole, or closes it."""
         state = pooled.connection.state
-        if state.our_state is not h11.DONE or state.their_state is not h11.DONE:
+        if (
+            state.our_state is not h11.DONE
+            or state.their_state is not h11.DONE
+        ):
             await pooled.connection.close()
             return
         state.start_next_cycle()
--- a/banyantrack/dispatch/proxy.py
+++ b/banyantrack/dispatch/proxy.py
@@ -25,8 +25,6 @@
 from banyantrack.transport import problems
 
 if typing.TYPE_CHECKING:
-    import collections.abc
-
     from banyantrack.core import metrics as metrics_module
     from banyantrack.transport import http_server
 
@@ -393,9 +391,7 @@
         finally:
             del self._in_flight[request]
 
-    def _won(
-        self, attempt: attempts.Attempt, answer: attempts.Answer
-    ) -> _Won:
+    def _won(self, attempt: attempts.Attempt, answer: attempts.Answer) -> _Won:
         return _Won(attempt, answer)
 
     def _hedge_after_s(
--- a/banyantrack/dispatch/queueing.py
+++ b/banyantrack/dispatch/queueing.py
@@ -135,5 +135,3 @@
 def expired(waiter: Waiter) -> bool:
     """Whether the deadline of a waiting request has passed."""
     return waiter.request.deadline <= time.monotonic()
-
-
--- a/banyantrack/dispatch/requests.py
+++ b/banyantrack/dispatch/requests.py
@@ -164,8 +164,10 @@
     if b'banyan-deadline-ms' not in headers:
         return default_ms
     text = _text(headers, b'banyan-deadline-ms')
-    if text.isascii() and text.isdigit() and (
-        0 < int(text) <= MAX_DEADLINE_MS
+    if (
+        text.isascii()
+        and text.isdigit()
+        and (0 < int(text) <= MAX_DEADLINE_MS)
     ):
         return int(text)
     raise _invalid(
--- a/banyantrack/intent/jobs.py
+++ b/banyantrack/intent/jobs.py
@@ -69,9 +69,7 @@
             revision=revision,
         )
 
-    def cancel(
-        self, name: str, spec: ttypes.Job | None, now_ms: int
-    ) -> None:
+    def cancel(self, name: str, spec: ttypes.Job | None, now_ms: int) -> None:
         """Ends a job that waits; a placed one must stop first.
 
         Args:
--- a/banyantrack/intent/objects.py
+++ b/banyantrack/intent/objects.py
@@ -59,9 +59,7 @@
 )
 BY_NUMBER = {kind.number: kind for kind in KINDS}
 BY_PLURAL = {kind.plural: kind for kind in KINDS}
-BY_NAME = BY_PLURAL | {
-    kind.plural.removesuffix('s'): kind for kind in KINDS
-}
+BY_NAME = BY_PLURAL | {kind.plural.removesuffix('s'): kind for kind in KINDS}
 
 
 def kind_of(stored: ttypes.StoredObject) -> Kind:
@@ -212,9 +210,7 @@
             for key, value in node.value
             if key.value not in besides
         ]
-        bare = yaml.MappingNode(
-            node.tag, rest, node.start_mark, node.end_mark
-        )
+        bare = yaml.MappingNode(node.tag, rest, node.start_mark, node.end_mark)
         if kind.struct == 'LabelSet':
             pairs = self._reader.pairs(bare)
             if set(pairs) != {'labels'}:
--- a/banyantrack/intent/state.py
+++ b/banyantrack/intent/state.py
@@ -267,6 +267,7 @@
             if (
                 status is None
                 or status.phase == jobs.Phase.WAITING
+                or (current is None and status.phase in jobs.FINISHED)
                 or (current is not None and current.job == stored.job)
             ):
                 continue
@@ -380,9 +381,7 @@
         numbers = array.array('H', status.workers)
         return [self._numbers[number] for number in numbers]
 
-    def _place(
-        self, index: int, commands: list[ttypes.PlaceCommand]
-    ) -> None:
+    def _place(self, index: int, commands: list[ttypes.PlaceCommand]) -> None:
         for command in commands:
             self._dirty.jobs.add(command.job)
             if (Kind.JOB, command.job) in self._objects:
--- a/banyantrack/intent/validation.py
+++ b/banyantrack/intent/validation.py
@@ -31,9 +31,7 @@
 
     def __init__(
         self,
-        current: collections.abc.Mapping[
-            tuple[int, str], ttypes.StoredObject
-        ],
+        current: collections.abc.Mapping[tuple[int, str], ttypes.StoredObject],
         changes: collections.abc.Iterable[ttypes.StoredObject],
     ) -> None:
         self._current = current
@@ -79,9 +77,7 @@
             CHECKS.get(name)(place, view, stored, found)
 
 
-def _check_selector(
-    place: str, text: str, found: findings.Findings
-) -> None:
+def _check_selector(place: str, text: str, found: findings.Findings) -> None:
     try:
         selectors.parse(text or '')
     except selectors.SelectorError as error:
--- a/banyantrack/membership/backends.py
+++ b/banyantrack/membership/backends.py
@@ -132,18 +132,20 @@
         same = announcement == known.announcement
         if same and heard_at <= known.heard_at:
             return False
-        if not same and heard_at < known.heard_at and (
-            announcement.incarnation == known.announcement.incarnation
-            and announcement.state == known.announcement.state
+        if (
+            not same
+            and heard_at < known.heard_at
+            and (
+                announcement.incarnation == known.announcement.incarnation
+                and announcement.state == known.announcement.state
+            )
         ):
             # Labels or slots of before.
             return False
         self._renew(known, announcement, heard_at, same)
         return True
 
-    def set_operator_labels(
-        self, labels: dict[str, dict[str, str]]
-    ) -> None:
+    def set_operator_labels(self, labels: dict[str, dict[str, str]]) -> None:
         """Replaces the labels that operators gave, by backend id."""
         if labels == self._operator_labels:
             return
--- a/banyantrack/membership/config.py
+++ b/banyantrack/membership/config.py
@@ -241,7 +241,9 @@
                 await self._ask()
             except (rpc.TransportError, rpc.CallError) as error:
                 logs.event(
-                    _LOG, 'control_unreachable', level=logging.DEBUG,
+                    _LOG,
+                    'control_unreachable',
+                    level=logging.DEBUG,
                     error=error,
                 )
                 await curio.sleep(RETRY_S)
--- a/banyantrack/membership/gossip.py
+++ b/banyantrack/membership/gossip.py
@@ -62,9 +62,7 @@
     heard_at: float = float('-inf')
     first_seen_at: float = dataclasses.field(default_factory=time.monotonic)
     leaving: bool = False
-    loads: dict[str, tuple[int, int]] = dataclasses.field(
-        default_factory=dict
-    )
+    loads: dict[str, tuple[int, int]] = dataclasses.field(default_factory=dict)
     loads_at: float = 0.0
     demand: float = 0.0
     acknowledged: int = 0
@@ -177,7 +175,7 @@
         await self.push()
 
     async def run(self) -> None:
-        """Starts a task for each peer, also for later ones; until cancelled."""
+        """Runs a task for each peer, also for later ones, until cancelled."""
         async with curio.TaskGroup() as tasks:
             while True:
                 while self._new_peers:
@@ -250,9 +248,7 @@
         while self._peers.get(peer.address) is peer:
             await self._send(peer)
             await self._urgent.wait_for(self._period_s)
-            quiet_s = time.monotonic() - max(
-                peer.heard_at, peer.first_seen_at
-            )
+            quiet_s = time.monotonic() - max(peer.heard_at, peer.first_seen_at)
             control_s = time.monotonic() - self._control.contact_at
             # While control is silent too, who is absent still counts.
             if quiet_s > FORGET_S and control_s < FORGET_S:
--- a/banyantrack/placement/attribution.py
+++ b/banyantrack/placement/attribution.py
@@ -25,8 +25,8 @@
         self._jobs_failed_on: dict[int, set[str]] = collections.defaultdict(
             set
         )
-        self._workers_failed_by: dict[str, set[int]] = (
-            collections.defaultdict(set)
+        self._workers_failed_by: dict[str, set[int]] = collections.defaultdict(
+            set
         )
         self._avoid_until: dict[int, float] = {}
 
--- a/banyantrack/placement/fleet.py
+++ b/banyantrack/placement/fleet.py
@@ -329,9 +329,9 @@
         if self._rack_of[number] == NOBODY:
             return False
         labels = self._labels[number]
-        return self._default.matches(labels) and selectors.parse(
-            text
-        ).matches(labels)
+        return self._default.matches(labels) and selectors.parse(text).matches(
+            labels
+        )
 
     def _append_empty(self) -> None:
         self._names.append('')
--- a/banyantrack/placement/gangs.py
+++ b/banyantrack/placement/gangs.py
@@ -239,9 +239,7 @@
             current = gang is not None and gang.epoch == task.epoch
             if task.job not in wanted or not current:
                 # An old epoch, or a gang that ended.
-                commands.append(
-                    TaskCommand(Action.STOP, task.job, task.epoch)
-                )
+                commands.append(TaskCommand(Action.STOP, task.job, task.epoch))
                 continue
             seen.add(task.job)
             command = self._next(gang, task)
@@ -453,9 +451,7 @@
             stopped = gang.states[position] in (_GONE, _DONE)
             if not stopped and now_s <= self.lease_until(worker):
                 return None
-        return self._make(
-            name, gang, Event.STOPPED, progress_ms=gang.saved_ms
-        )
+        return self._make(name, gang, Event.STOPPED, progress_ms=gang.saved_ms)
 
     def _make(
         self,
--- a/banyantrack/placement/places.py
+++ b/banyantrack/placement/places.py
@@ -279,8 +279,11 @@
             continue
         # The rest goes to the rack that it fills best.
         best = min(
-            (other for other in group[position:]
-             if racks[other][0] >= remaining),
+            (
+                other
+                for other in group[position:]
+                if racks[other][0] >= remaining
+            ),
             key=lambda other: racks[other][0],
         )
         rest = dataclasses.replace(gang, members=remaining)
--- a/banyantrack/placement/reasons.py
+++ b/banyantrack/placement/reasons.py
@@ -43,9 +43,7 @@
     )
 
 
-def no_room(
-    workers: fleet.Fleet, gang: places.Gang, room: places.Room
-) -> str:
+def no_room(workers: fleet.Fleet, gang: places.Gang, room: places.Room) -> str:
     """Returns why a gang does not fit now."""
     groups = places.domains(workers, gang.adjacency, room)
     most = max((sum(room[n] for n in group) for group in groups), default=0)
--- a/banyantrack/placement/reclaim.py
+++ b/banyantrack/placement/reclaim.py
@@ -131,9 +131,7 @@
             accelerators += count * need.accelerators
             processors += count * need.processors
             memory_mb += count * need.memory_mb
-        return fleet.members_in(
-            gang.need, accelerators, processors, memory_mb
-        )
+        return fleet.members_in(gang.need, accelerators, processors, memory_mb)
 
     def _free_share(self, gang: places.Gang, group: list[int]) -> int:
         """Orders groups by how much is missing in them."""
--- a/banyantrack/placement/scheduler.py
+++ b/banyantrack/placement/scheduler.py
@@ -164,9 +164,7 @@
         job = self._ledger.job(name)
         allotment = self._ledger.allotments.get(name)
         if job is not None:
-            self._estimates.observe(
-                job.customer, job.run_time_ms, observed_ms
-            )
+            self._estimates.observe(job.customer, job.run_time_ms, observed_ms)
         if allotment is not None:
             workers = set(allotment.workers)
             for worker in self._attribution.succeed(name, workers):
@@ -356,9 +354,7 @@
             customer = job.customer
             if customer not in shares:
                 used = self._ledger.used_by_customer[customer]
-                shares[customer] = (
-                    used / total / self._ledger.weight(customer)
-                )
+                shares[customer] = used / total / self._ledger.weight(customer)
             asked = job.members * job.accelerators
             key = (customer, asked)
             if key not in covered:
@@ -489,9 +485,7 @@
             self._never_generation = generation
             self._never_reasons.clear()
         if gang not in self._never_reasons:
-            self._never_reasons[gang] = reasons.never(
-                self._ledger.fleet, gang
-            )
+            self._never_reasons[gang] = reasons.never(self._ledger.fleet, gang)
         return self._never_reasons[gang]
 
     def _find_reserved(
@@ -541,9 +535,7 @@
         )
         return self._ledger.witness.allows(change)
 
-    def _shape_room(
-        self, gang: places.Gang, guarantee: str
-    ) -> places.Room:
+    def _shape_room(self, gang: places.Gang, guarantee: str) -> places.Room:
         """Returns members that fit on the witness of a guarantee."""
         slots: dict[int, int] = collections.Counter()
         for shape in self._ledger.witness.shapes(guarantee):
@@ -690,9 +682,7 @@
         )
         for victim in plan.victims:
             status = self._state.jobs.get(victim)
-            self._add_event(
-                decisions, status, Event.STOPPING, Reason.RECLAIM
-            )
+            self._add_event(decisions, status, Event.STOPPING, Reason.RECLAIM)
         self._note_reclaiming(name, plan.victims)
 
     def _note_reclaiming(self, name: str, victims: tuple[str, ...]) -> None:
@@ -774,5 +764,3 @@
         if members <= 0:
             return busy_ms.get(worker, 0.0), chosen
     return None
-
-
--- a/banyantrack/placement/witness.py
+++ b/banyantrack/placement/witness.py
@@ -76,9 +76,7 @@
 
     __slots__ = ('pinned', 'entitlement')
 
-    def __init__(
-        self, pinned: Slots, entitlement: Entitlement | None
-    ) -> None:
+    def __init__(self, pinned: Slots, entitlement: Entitlement | None) -> None:
         self.pinned = pinned
         self.entitlement = entitlement
 
@@ -227,9 +225,7 @@
             shape.guarantee,
         )
 
-    def _is_adjacent(
-        self, adjacency: states.Adjacency, slots: Slots
-    ) -> bool:
+    def _is_adjacent(self, adjacency: states.Adjacency, slots: Slots) -> bool:
         return len({self._group(adjacency, w) for w in slots}) <= 1
 
     def _group(self, adjacency: states.Adjacency, worker: int) -> int:
@@ -250,13 +246,13 @@
 
     def _save(self) -> tuple[object, ...]:
         shapes = {
-            name: [
-                Shape(s.guarantee, s.size, dict(s.slots)) for s in found
-            ]
+            name: [Shape(s.guarantee, s.size, dict(s.slots)) for s in found]
             for name, found in self._shapes.items()
         }
-        return shapes, array.array('i', self._assigned), dict(
-            self._entitlements
+        return (
+            shapes,
+            array.array('i', self._assigned),
+            dict(self._entitlements),
         )
 
     def _load(self, saved: tuple[object, ...]) -> None:
@@ -272,9 +268,7 @@
                 kept.append(shape)
             else:
                 self._release(shape)
-        kept.extend(
-            Shape(entitlement.guarantee, size, {}) for size in wanted
-        )
+        kept.extend(Shape(entitlement.guarantee, size, {}) for size in wanted)
         self._shapes[entitlement.guarantee] = kept
 
     def _release(self, shape: Shape) -> None:
@@ -284,9 +278,7 @@
 
     def _drop_broken(self) -> None:
         for name, shapes in self._shapes.items():
-            eligible = self._fleet.eligible(
-                self._entitlements[name].selector
-            )
+            eligible = self._fleet.eligible(self._entitlements[name].selector)
             for shape in shapes:
                 if any(
                     not eligible[worker]
--- a/banyantrack/replication/elections.py
+++ b/banyantrack/replication/elections.py
@@ -69,9 +69,7 @@
         await self._owner.become_follower(self._owner.term, None)
 
 
-async def campaign(
-    owner: replica.Replica, *, hand_over: bool = False
-) -> None:
+async def campaign(owner: replica.Replica, *, hand_over: bool = False) -> None:
     """Stands for election, after asking whether it could be won.
 
     Args:
--- a/banyantrack/replication/files.py
+++ b/banyantrack/replication/files.py
@@ -57,8 +57,7 @@
         )
     if version != FORMAT_VERSION:
         raise errors.StorageError(
-            f'{path}: got format version {version};'
-            f' valid is {FORMAT_VERSION}'
+            f'{path}: got format version {version}; valid is {FORMAT_VERSION}'
         )
 
 
--- a/banyantrack/replication/peers.py
+++ b/banyantrack/replication/peers.py
@@ -106,9 +106,7 @@
             await curio.sleep(owner.options.heartbeat_s / 4)
 
 
-async def _send(
-    owner: replica.Replica, peer: PeerProgress, term: int
-) -> bool:
+async def _send(owner: replica.Replica, peer: PeerProgress, term: int) -> bool:
     """Sends one message; returns whether it was answered."""
     sent_at = time.monotonic()
     previous = peer.next_index - 1
@@ -117,9 +115,7 @@
         if previous_term is None or previous < owner.storage.log.start_index:
             answered = await _send_snapshot(owner, peer, term)
         else:
-            answered = await _send_entries(
-                owner, peer, term, previous_term
-            )
+            answered = await _send_entries(owner, peer, term, previous_term)
     except (rpc.TransportError, rpc.CallError) as error:
         logs.event(
             _LOG,
@@ -292,8 +288,7 @@
         kept = [m for m in voters if m.member_id != remove]
         if len(kept) == len(voters):
             raise errors.MembershipError(
-                f'got {remove!r}; valid are voters:'
-                f' {_names(voters)}'
+                f'got {remove!r}; valid are voters: {_names(voters)}'
             )
         voters = kept
     if add:
@@ -405,6 +400,4 @@
             error=error,
         )
     else:
-        logs.event(
-            _LOG, 'member_admitted', member=learner_id, replaced=remove
-        )
+        logs.event(_LOG, 'member_admitted', member=learner_id, replaced=remove)
--- a/banyantrack/replication/replica.py
+++ b/banyantrack/replication/replica.py
@@ -147,8 +147,7 @@
         """Its role; a member that does not vote is a learner."""
         if (
             self._role is states.Role.FOLLOWER
-            and self._member.member_id
-            not in quorum.voter_ids(self.membership)
+            and self._member.member_id not in quorum.voter_ids(self.membership)
         ):
             return states.Role.LEARNER
         return self._role
@@ -297,7 +296,9 @@
 
     # Proposals and reads.
 
-    async def propose(self, payload: bytes, *, timeout_s: float) -> api.Applied:
+    async def propose(
+        self, payload: bytes, *, timeout_s: float
+    ) -> api.Applied:
         """Adds an entry and waits until it is applied.
 
         Args:
@@ -674,9 +675,7 @@
     async def _refuse(
         self, batch: list[_Proposal], error: errors.DiskFullError
     ) -> None:
-        logs.event(
-            _LOG, 'disk_full', level=logging.ERROR, error=error
-        )
+        logs.event(_LOG, 'disk_full', level=logging.ERROR, error=error)
         noop = any(proposal.kind == _Kind.NOOP for proposal in batch)
         for proposal in batch:
             proposal.error = errors.NotAppliedError(str(error))
@@ -940,9 +939,7 @@
         """Answers a piece of a leader's snapshot."""
         header = request.header
         if request.target != self._member.member_id:
-            return ttypes.SnapshotReply(
-                term=0, next_offset=0, installed=False
-            )
+            return ttypes.SnapshotReply(term=0, next_offset=0, installed=False)
         if request.term < self.term:
             return ttypes.SnapshotReply(
                 term=self.term, next_offset=0, installed=False
--- a/banyantrack/replication/storage.py
+++ b/banyantrack/replication/storage.py
@@ -173,9 +173,7 @@
             StorageError: If they cannot be saved.
         """
         self._state = ttypes.HardState(term=term, voted_for=voted_for)
-        files.write_struct(
-            self._folder / STATE_FILE, STATE_KIND, self._state
-        )
+        files.write_struct(self._folder / STATE_FILE, STATE_KIND, self._state)
 
     def save_snapshot(self, snapshot: Snapshot) -> None:
         """Saves a snapshot durably; may run in another thread.
--- a/banyantrack/testing/builders.py
+++ b/banyantrack/testing/builders.py
@@ -81,17 +81,13 @@
     return stored('routes', name, prefix=prefix, **fields)
 
 
-def labels(
-    plural: str, name: str, **values: str
-) -> intent.StoredObject:
+def labels(plural: str, name: str, **values: str) -> intent.StoredObject:
     """Returns the labels of a worker or backend."""
     body = intent.LabelSet(labels=values)
     return objects.make(objects.BY_PLURAL[plural], name, body)
 
 
-def change(
-    target: intent.StoredObject, *, if_match: int = 0
-) -> intent.Change:
+def change(target: intent.StoredObject, *, if_match: int = 0) -> intent.Change:
     """Returns a change of one object."""
     return intent.Change(object=target, if_match=if_match)
 
--- a/banyantrack/testing/fake_worker.py
+++ b/banyantrack/testing/fake_worker.py
@@ -64,8 +64,8 @@
 
     def __init__(self) -> None:
         self.starts: list[tuple[str, str, int]] = []
-        self.running: dict[str, dict[int, set[str]]] = (
-            collections.defaultdict(lambda: collections.defaultdict(set))
+        self.running: dict[str, dict[int, set[str]]] = collections.defaultdict(
+            lambda: collections.defaultdict(set)
         )
 
     def started(self, worker: str, job: str, epoch: int) -> None:
@@ -165,9 +165,7 @@
         """Loses all tasks, as a restart does."""
         for job in list(self.tasks):
             self._drop(job)
-        self._incarnation = max(
-            self._incarnation + 1, int(time.time() * 1000)
-        )
+        self._incarnation = max(self._incarnation + 1, int(time.time() * 1000))
         self._sequence = 0
         self._ended.clear()
 
--- a/banyantrack/testing/replication_run.py
+++ b/banyantrack/testing/replication_run.py
@@ -22,7 +22,6 @@
 from banyantrack.generated.intent import ttypes as intent
 from banyantrack.intent import state as intent_state
 from banyantrack.replication import errors
-from banyantrack.replication import quorum
 from banyantrack.testing import builders
 from banyantrack.testing import fake_group
 from banyantrack.testing import virtual
@@ -221,9 +220,7 @@
                 inward = self._rng.random() < 0.5
                 self._cut(target, inward=inward, outward=not inward)
             case Fault.CUT_LEADER:
-                self._cut(
-                    self._leader() or target, inward=True, outward=True
-                )
+                self._cut(self._leader() or target, inward=True, outward=True)
             case Fault.HOLD:
                 self._network.extra_delay_s = 0.2
             case Fault.SLOW_DISK:
@@ -300,9 +297,7 @@
         replica = leader.replica
         if replica.membership_index > replica.commit_index:
             return False
-        ids = {
-            member.replica.member.member_id for member in self._running()
-        }
+        ids = {member.replica.member.member_id for member in self._running()}
         voters = {m.member_id for m in replica.membership.voters}
         return (
             len(ids) == len(self._members)
@@ -427,9 +422,7 @@
         self._note(operation, applied.result)
         return True
 
-    def _note(
-        self, operation: Operation, result: intent.ApplyResult
-    ) -> None:
+    def _note(self, operation: Operation, result: intent.ApplyResult) -> None:
         operation.ended_at = time.monotonic()
         if result.verdict == intent.Verdict.APPLIED:
             operation.answer = Answer.APPLIED
@@ -542,9 +535,7 @@
             raise HistoryError(f'{operation} came after revision {newest}')
 
 
-def _check_read(
-    operation: Operation, revisions: dict[str, list[int]]
-) -> None:
+def _check_read(operation: Operation, revisions: dict[str, list[int]]) -> None:
     past = [r for r in revisions[operation.name] if r <= operation.revision]
     if operation.current_revision != past[-1]:
         raise HistoryError(f'{operation} should have seen {past[-1]}')
--- a/banyantrack/testing/system.py
+++ b/banyantrack/testing/system.py
@@ -1,4 +1,4 @@
-"""A whole system of real daemons on loopback, for demo, soak and benchmarks."""
+"""A system of real daemons on loopback, for demo, soak and benchmarks."""
 
 from __future__ import annotations
 
@@ -360,9 +360,7 @@
 
 
 async def wait_for(
-    condition: collections.abc.Callable[
-        [], collections.abc.Awaitable[bool]
-    ],
+    condition: collections.abc.Callable[[], collections.abc.Awaitable[bool]],
     what: str,
     *,
     timeout_s: float = READY_TIMEOUT_S,
--- a/banyantrack/testing/virtual.py
+++ b/banyantrack/testing/virtual.py
@@ -14,6 +14,8 @@
 START_S = 1_000.0
 # Each turn of the event loop takes some time, as it does in reality.
 TURN_S = 1e-6
+# A run with more turns of the event loop is taken to be stuck.
+MAX_TURNS = 3_000_000
 
 
 class VirtualClock:
@@ -37,10 +39,14 @@
     def __init__(self, clock: VirtualClock) -> None:
         super().__init__()
         self._clock = clock
+        self._turns = 0
 
     def select(
         self, timeout: float | None = None
     ) -> list[tuple[selectors.SelectorKey, int]]:
+        self._turns += 1
+        if self._turns > MAX_TURNS:
+            raise RuntimeError(f'no end after {MAX_TURNS} turns')
         ready = super().select(0)
         if timeout is None and not ready:
             raise RuntimeError('all tasks wait for each other')
--- /dev/null
+++ b/banyantrack/tests/test_core.py
@@ -0,0 +1,134 @@
+"""Tests of small core parts."""
+
+from __future__ import annotations
+
+import testtools
+
+from banyantrack.core import codec
+from banyantrack.core import findings
+from banyantrack.core import metrics
+from banyantrack.core import registry
+from banyantrack.core import signals
+from banyantrack.core import timers
+from banyantrack.generated.intent import ttypes as intent
+from banyantrack.testing import builders
+from banyantrack.testing import virtual
+
+import curio  # isort: skip
+
+
+class TestRegistry(testtools.TestCase):
+    """Names map to what decorators register."""
+
+    def test_unknown_name_lists_valid_ones(self) -> None:
+        found: registry.Registry[int] = registry.Registry('thing')
+        found.register('b')(1)
+        found.register('a')(2)
+        error = self.assertRaises(registry.UnknownNameError, found.get, 'c')
+        self.assertEqual("got thing 'c'; valid are: a, b", str(error))
+
+    def test_name_is_registered_once(self) -> None:
+        found: registry.Registry[int] = registry.Registry('thing')
+        found.register('a')(1)
+        self.assertRaises(ValueError, found.register, 'a')
+
+
+class TestFindings(testtools.TestCase):
+    """Findings are raised together."""
+
+    def test_group_holds_all(self) -> None:
+        found = findings.Findings()
+        found.add('f:1:2', 'first')
+        found.add('f:3:4', 'second')
+        error = self.assertRaises(
+            findings.FindingsError, found.raise_any, 'input'
+        )
+        self.assertEqual(2, len(error.exceptions))
+        self.assertEqual('f:3:4: second', str(error.findings[1]))
+
+    def test_nothing_found_raises_nothing(self) -> None:
+        findings.Findings().raise_any('input')
+
+
+class TestCodec(testtools.TestCase):
+    """Structs survive encoding; other bytes are refused."""
+
+    def test_round_trip(self) -> None:
+        job = builders.job(members=16)
+        data = codec.encode(job)
+        self.assertEqual(job, codec.decode(intent.StoredObject, data))
+
+    def test_cut_bytes_are_refused(self) -> None:
+        data = codec.encode(builders.job())
+        for size in range(len(data) - 1):
+            self.assertRaises(
+                codec.DecodeError,
+                codec.decode,
+                intent.StoredObject,
+                data[:size],
+            )
+
+
+class TestMetrics(testtools.TestCase):
+    """Metrics are rendered as text."""
+
+    def test_rendering(self) -> None:
+        found = metrics.Metrics()
+        found.counter('requests', route='a"b').add(2)
+        found.gauge('depth', lambda: 3)
+        found.histogram('run_us').record(0.001)
+        lines = found.render().splitlines()
+        self.assertIn('requests{route="a\\"b"} 2', lines)
+        self.assertIn('depth 3', lines)
+        self.assertIn('run_us_count 1', lines)
+
+    def test_histogram_clips(self) -> None:
+        found = metrics.Histogram()
+        found.record(0.0)
+        found.record(1e9)
+        self.assertEqual(2, found.count)
+
+
+class TestTimers(testtools.TestCase):
+    """Subscribed callbacks are called at their times."""
+
+    def test_order_period_and_cancel(self) -> None:
+        calls: list[tuple[str, float]] = []
+
+        async def run() -> None:
+            import time
+
+            start = time.monotonic()
+            service = timers.TimerService()
+            task = await curio.spawn(service.run)
+
+            async def note(name: str) -> None:
+                calls.append((name, round(time.monotonic() - start, 2)))
+
+            await service.after(0.5, lambda: note('late'))
+            await service.after(0.1, lambda: note('early'))
+            again = await service.every(0.2, lambda: note('again'))
+            await curio.sleep(0.45)
+            again.cancel()
+            await curio.sleep(0.5)
+            await task.cancel()
+
+        virtual.run(run)
+        self.assertEqual(
+            [('early', 0.1), ('again', 0.2), ('again', 0.4), ('late', 0.5)],
+            calls,
+        )
+
+
+class TestSignal(testtools.TestCase):
+    """A notification wakes those who wait at that time."""
+
+    def test_wait_for(self) -> None:
+        async def run() -> list[bool]:
+            signal = signals.Signal()
+            waiter = await curio.spawn(signal.wait_for, 1.0)
+            await curio.sleep(0.1)
+            await signal.notify()
+            return [await waiter.join(), await signal.wait_for(0.1)]
+
+        self.assertEqual([True, False], virtual.run(run))
--- /dev/null
+++ b/banyantrack/tests/test_logs.py
@@ -0,0 +1,65 @@
+"""Tests of log lines."""
+
+from __future__ import annotations
+
+import io
+import logging
+
+import hypothesis
+from hypothesis import strategies
+import testtools
+
+from banyantrack.core import logs
+
+
+class TestPairs(testtools.TestCase):
+    """Any value parses back."""
+
+    @hypothesis.settings(derandomize=True, deadline=None)
+    @hypothesis.given(
+        strategies.dictionaries(
+            strategies.from_regex(r'[A-Za-z0-9_.-]{1,10}', fullmatch=True),
+            strategies.text(),
+            min_size=1,
+        )
+    )
+    def test_text_parses_back(self, pairs: dict[str, str]) -> None:
+        line = logs.render_pairs(pairs)
+        self.assertNotIn('\n', line)
+        self.assertEqual(pairs, logs.parse_line(line))
+
+    def test_cut_line_is_refused(self) -> None:
+        line = logs.render_pairs({'a': 'x y', 'b': 'z z'})
+        self.assertRaises(logs.LineError, logs.parse_line, line[:-1])
+
+    def test_values_are_readable(self) -> None:
+        line = logs.render_pairs({'a': True, 'b': 1.5, 'c': 'x'})
+        self.assertEqual('a=true b=1.5 c=x', line)
+
+
+class TestFormatter(testtools.TestCase):
+    """One event makes one line."""
+
+    def _line(self, **values: object) -> dict[str, str]:
+        stream = io.StringIO()
+        handler = logging.StreamHandler(stream)
+        handler.setFormatter(logs.PairFormatter())
+        logger = logging.Logger('banyantrack.test', logging.INFO)
+        logger.addHandler(handler)
+        logs.event(logger, 'thing_done', **values)
+        return logs.parse_line(stream.getvalue())
+
+    def test_event_has_common_keys(self) -> None:
+        line = self._line(count=3)
+        self.assertEqual('thing_done', line['event'])
+        self.assertEqual('INFO', line['level'])
+        self.assertEqual('3', line['count'])
+
+    def test_value_does_not_hide_common_key(self) -> None:
+        line = self._line(event='other', name='x', time='y')
+        self.assertEqual('thing_done', line['event'])
+        self.assertEqual('other', line['event_'])
+        self.assertEqual('x', line['name'])
+
+    def test_line_breaks_stay_in_the_line(self) -> None:
+        self.assertEqual('a\nb', self._line(text='a\nb')['text'])
--- a/banyantrack/transport/http.py
+++ b/banyantrack/transport/http.py
@@ -8,8 +8,8 @@
 import typing
 
 import curio
-import h11
 from curio import io
+import h11
 
 from banyantrack.core import errors
 
@@ -91,8 +91,9 @@
             try:
                 event = self._state.next_event()
             except h11.RemoteProtocolError as error:
-                if self._state.their_state is h11.ERROR and (
-                    self._state.trailing_data[1]
+                if (
+                    self._state.their_state is h11.ERROR
+                    and (self._state.trailing_data[1])
                 ):
                     raise ClosedError(str(error)) from error
                 raise ProtocolError(
--- a/banyantrack/transport/http_server.py
+++ b/banyantrack/transport/http_server.py
@@ -6,8 +6,8 @@
 import logging
 import typing
 
-import h11
 from curio import io
+import h11
 
 from banyantrack.core import logs
 from banyantrack.transport import http
@@ -62,8 +62,7 @@
         """Whether any body may follow."""
         return self._connection.state.their_state is h11.SEND_BODY and (
             http.header(self.headers, b'transfer-encoding') is not None
-            or http.header(self.headers, b'content-length')
-            not in (None, b'0')
+            or http.header(self.headers, b'content-length') not in (None, b'0')
         )
 
     def header(self, name: bytes) -> str | None:
@@ -128,9 +127,7 @@
         )
 
 
-Handler = collections.abc.Callable[
-    [Request], collections.abc.Awaitable[None]
-]
+Handler = collections.abc.Callable[[Request], collections.abc.Awaitable[None]]
 
 
 def _check_head(head: h11.Request) -> None:
@@ -210,9 +207,7 @@
             if connection.state.their_state is not h11.IDLE:
                 await self._refuse(connection, 408, str(error))
         except http.ClosedError as error:
-            logs.event(
-                _LOG, 'request_cut', level=logging.INFO, error=error
-            )
+            logs.event(_LOG, 'request_cut', level=logging.INFO, error=error)
         finally:
             self._active.discard(connection)
 
--- a/banyantrack/transport/messages.py
+++ b/banyantrack/transport/messages.py
@@ -34,9 +34,7 @@
 
 
 CALL_TYPES = (
-    CallType(
-        MessageKind.VOTE, replication.VoteRequest, replication.VoteReply
-    ),
+    CallType(MessageKind.VOTE, replication.VoteRequest, replication.VoteReply),
     CallType(
         MessageKind.APPEND, replication.AppendRequest, replication.AppendReply
     ),
@@ -50,9 +48,7 @@
         replication.HandOverRequest,
         replication.HandOverReply,
     ),
-    CallType(
-        MessageKind.JOIN, replication.JoinRequest, replication.JoinReply
-    ),
+    CallType(MessageKind.JOIN, replication.JoinRequest, replication.JoinReply),
     CallType(MessageKind.WATCH, cluster.WatchRequest, cluster.WatchReply),
     CallType(
         MessageKind.COMMAND, cluster.CommandRequest, cluster.CommandReply
--- a/banyantrack/transport/rpc.py
+++ b/banyantrack/transport/rpc.py
@@ -202,9 +202,7 @@
             while (frame := await stream.read()) is not None:
                 await self._dispatch(stream, frame)
         except FrameError as error:
-            logs.event(
-                _LOG, 'bad_frame', level=logging.WARNING, error=error
-            )
+            logs.event(_LOG, 'bad_frame', level=logging.WARNING, error=error)
 
     async def _dispatch(
         self, stream: FrameStream, frame: cluster.Frame
@@ -225,9 +223,7 @@
         try:
             await self._answer(stream, frame, handler)
         except (OSError, FrameError) as error:
-            logs.event(
-                _LOG, 'reply_lost', level=logging.DEBUG, error=error
-            )
+            logs.event(_LOG, 'reply_lost', level=logging.DEBUG, error=error)
         except errors.InvariantError as error:
             errors.invariant_broken(error)
 
--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Benchmarks: ratios and figures, run one at a time."""
