Keep workers whole: spoil-least packing, consolidation, kept refusals

Ruled out: head reservations (they hold whole workers). Change: gangs that may lie anywhere fill pieces first; a worker is chosen by the accelerator-time that is spoiled beside the gang; small work moves together while nothing small waits; refusals, order and expected ends are kept between rounds; a round has a time limit and goes on where it ended.

--- a/banyantrack/intent/state.py
+++ b/banyantrack/intent/state.py
@@ -15,6 +15,7 @@
 from banyantrack.intent import jobs
 from banyantrack.intent import keys
 from banyantrack.intent import objects
+from banyantrack.intent import table
 from banyantrack.intent import validation
 
 if typing.TYPE_CHECKING:
@@ -51,7 +52,7 @@
     def __init__(self) -> None:
         self._revision = 0
         self._clock_ms = 0
-        self._objects: dict[tuple[int, str], ttypes.StoredObject] = {}
+        self._objects = table.ObjectTable()
         self._keys = keys.KeyTable()
         self._claims = claims.ClaimTable()
         self._jobs = jobs.JobTable()
@@ -103,17 +104,18 @@
     def mark_all_dirty(self) -> None:
         """Makes the next `take_dirty` return everything."""
         self._dirty = Dirty(
-            {status.job for status in self._jobs}, set(self._objects)
+            {status.job for status in self._jobs},
+            {(stored.kind, stored.name) for stored in self._objects},
         )
 
     def get(self, kind: int, name: str) -> ttypes.StoredObject | None:
         """Returns an object, or None."""
-        return self._objects.get((kind, name))
+        return self._objects.get(kind, name)
 
     def of_kind(self, *kinds: int) -> list[ttypes.StoredObject]:
         """Returns all objects of some kinds."""
         return [
-            stored for key, stored in self._objects.items() if key[0] in kinds
+            stored for kind in kinds for stored in self._objects.of_kind(kind)
         ]
 
     def apply(self, index: int, payload: bytes) -> object:
@@ -143,7 +145,7 @@
             ttypes.IntentSnapshot(
                 version=SNAPSHOT_VERSION,
                 revision=self._revision,
-                objects=list(self._objects.values()),
+                objects=list(self._objects),
                 keys=self._keys.records(),
                 claims=self._claims.records(),
                 jobs=self._jobs.statuses(),
@@ -168,9 +170,9 @@
         )
         self._revision = snapshot.revision
         self._clock_ms = snapshot.clock_ms
-        self._objects = {
-            (stored.kind, stored.name): stored for stored in snapshot.objects
-        }
+        self._objects = table.ObjectTable()
+        for stored in snapshot.objects:
+            self._objects.put(stored)
         self._numbers = {
             stored.worker.number: stored.name
             for stored in self.of_kind(Kind.WORKER)
@@ -240,16 +242,16 @@
     def _matches(self, change: ttypes.Change) -> bool:
         if change.if_match == ANY_REVISION:
             return True
-        key = (change.object.kind, change.object.name)
-        current = self._objects.get(key)
+        current = self._objects.get(change.object.kind, change.object.name)
         if change.if_match == MUST_NOT_EXIST:
             return current is None
         return current is not None and current.revision == change.if_match
 
     def _conflict(self, change: ttypes.Change) -> ttypes.ApplyResult:
-        key = (change.object.kind, change.object.name)
         result = _refusal(Verdict.CONFLICT, self._revision)
-        result.current = self._objects.get(key)
+        result.current = self._objects.get(
+            change.object.kind, change.object.name
+        )
         return result
 
     def _check_placed(
@@ -263,7 +265,7 @@
             if stored.kind != Kind.JOB or stored.deleted:
                 continue
             status = self._jobs.get(stored.name)
-            current = self._objects.get((Kind.JOB, stored.name))
+            current = self._objects.get(Kind.JOB, stored.name)
             if (
                 status is None
                 or status.phase == jobs.Phase.WAITING
@@ -284,7 +286,7 @@
         if not stored.deleted:
             found.add(place, 'workers describe themselves; valid is delete')
             return
-        known = self._objects.get((Kind.WORKER, stored.name))
+        known = self._objects.get(Kind.WORKER, stored.name)
         if known is None:
             return
         for status in self._jobs:
@@ -304,17 +306,17 @@
             self._revision,
         )
         key = (stored.kind, stored.name)
-        known = key in self._objects
+        known = self._objects.get(*key) is not None
         gone = None
         if stored.deleted:
             if not known:
                 return
-            gone = self._objects.pop(key)
+            gone = self._objects.pop(*key)
             if gone.worker is not None:
                 del self._numbers[gone.worker.number]
                 self._next_number = max(self._numbers, default=-1) + 1
         else:
-            self._objects[key] = stored
+            self._objects.put(stored)
         stored.revision = index
         self._revision = index
         self._feed.add(stored)
@@ -341,7 +343,7 @@
     def _expire(self, index: int) -> None:
         """Drops the objects of jobs that finished long ago."""
         for name in self._jobs.expire():
-            stored = self._objects.pop((Kind.JOB, name), None)
+            stored = self._objects.pop(Kind.JOB, name)
             if stored is not None:
                 self._revision = index
                 kind = objects.BY_NUMBER[Kind.JOB]
@@ -354,7 +356,7 @@
     ) -> None:
         """Adds workers or changes what they say of themselves."""
         for stored in workers:
-            known = self._objects.get((Kind.WORKER, stored.name))
+            known = self._objects.get(Kind.WORKER, stored.name)
             if known is None:
                 stored.worker.number = self._free_number()
             else:
@@ -384,7 +386,7 @@
     def _place(self, index: int, commands: list[ttypes.PlaceCommand]) -> None:
         for command in commands:
             self._dirty.jobs.add(command.job)
-            if (Kind.JOB, command.job) in self._objects:
+            if self._objects.get(Kind.JOB, command.job) is not None:
                 self._jobs.place(command, index, self._clock_ms)
 
     def _job_events(
@@ -395,7 +397,7 @@
                 continue
             self._dirty.jobs.add(command.job)
             status = self._jobs.get(command.job)
-            stored = self._objects.get((Kind.JOB, command.job))
+            stored = self._objects.get(Kind.JOB, command.job)
             if (
                 status.phase == jobs.Phase.WAITING
                 and stored is not None
--- a/banyantrack/intent/validation.py
+++ b/banyantrack/intent/validation.py
@@ -13,6 +13,8 @@
 if typing.TYPE_CHECKING:
     import collections.abc
 
+    from banyantrack.intent import table
+
     Check = collections.abc.Callable[
         [str, 'View', ttypes.StoredObject, findings.Findings], None
     ]
@@ -25,13 +27,13 @@
     """Objects as they would be after some changes.
 
     Args:
-        current: The objects now, by kind and name.
+        current: The objects now.
         changes: The changed objects.
     """
 
     def __init__(
         self,
-        current: collections.abc.Mapping[tuple[int, str], ttypes.StoredObject],
+        current: table.ObjectTable,
         changes: collections.abc.Iterable[ttypes.StoredObject],
     ) -> None:
         self._current = current
@@ -42,15 +44,15 @@
     def get(self, kind: int, name: str) -> ttypes.StoredObject | None:
         """Returns an object, or None."""
         key = (kind, name)
-        found = self._changed.get(key) or self._current.get(key)
+        found = self._changed.get(key) or self._current.get(*key)
         return None if found is None or found.deleted else found
 
     def of_kind(
         self, kind: int
     ) -> collections.abc.Iterator[ttypes.StoredObject]:
         """Yields all objects of a kind."""
-        for key, stored in self._current.items():
-            if key[0] == kind and key not in self._changed:
+        for stored in self._current.of_kind(kind):
+            if (kind, stored.name) not in self._changed:
                 yield stored
         for key, stored in self._changed.items():
             if key[0] == kind and not stored.deleted:
--- a/banyantrack/placement/allotments.py
+++ b/banyantrack/placement/allotments.py
@@ -111,6 +111,7 @@
         self.waiting: dict[str, intent.JobStatus] = {}
         self.used_by_customer: dict[str, int] = collections.Counter()
         self.used_by_guarantee: dict[str, int] = collections.Counter()
+        self._guarantees: dict[str, list[str]] = {}
         state.mark_all_dirty()
 
     def sync(self) -> bool:
@@ -189,11 +190,7 @@
 
     def guarantees_of(self, customer: str) -> list[str]:
         """Returns the guarantees of a customer."""
-        return sorted(
-            stored.name
-            for stored in self._state.of_kind(Kind.GUARANTEE)
-            if stored.guarantee.customer == customer
-        )
+        return self._guarantees.get(customer, [])
 
     def weight(self, customer: str) -> int:
         """Returns the weight of a customer."""
@@ -219,9 +216,18 @@
     def _sync_object(self, kind: int, name: str) -> None:
         if kind == Kind.GUARANTEE:
             self._update_entitlement(name)
+            self._index_guarantees()
         elif kind in (Kind.WORKER, Kind.WORKER_LABELS):
             self._sync_worker(name)
 
+    def _index_guarantees(self) -> None:
+        self._guarantees = {}
+        for stored in self._state.of_kind(Kind.GUARANTEE):
+            names = self._guarantees.setdefault(stored.guarantee.customer, [])
+            names.append(stored.name)
+        for names in self._guarantees.values():
+            names.sort()
+
     def _sync_worker(self, name: str) -> None:
         stored = self._state.get(Kind.WORKER, name)
         number = self.fleet.number(name)
--- a/banyantrack/placement/fleet.py
+++ b/banyantrack/placement/fleet.py
@@ -123,6 +123,16 @@
         """Free accelerators of each worker."""
         return self._free_accelerators
 
+    @property
+    def free_processors(self) -> array.array:
+        """Free processors of each worker."""
+        return self._free_processors
+
+    @property
+    def free_memory(self) -> array.array:
+        """Free memory of each worker, in MB."""
+        return self._free_memory
+
     @property
     def accelerators(self) -> array.array:
         """Accelerators of each worker."""
--- a/banyantrack/placement/gangs.py
+++ b/banyantrack/placement/gangs.py
@@ -112,6 +112,8 @@
         self.pending = 0
 
 
+# Reasons to stop that leave time for a checkpoint.
+_GENTLE = frozenset((Reason.RECLAIM, Reason.LABELS, Reason.CONSOLIDATE))
 _CODES = {state: number for number, state in enumerate(TaskState, 1)}
 _UNKNOWN = 0
 _GONE = len(TaskState) + 1
@@ -339,7 +341,7 @@
     ) -> TaskCommand:
         gentle = (
             task.state is TaskState.RUNNING
-            and status.reason in (Reason.RECLAIM, Reason.LABELS)
+            and status.reason in _GENTLE
             and self._allotments[task.job].checkpointable
             and self._stopping_s(gang) < self._grace_s
         )
--- a/banyantrack/placement/places.py
+++ b/banyantrack/placement/places.py
@@ -16,7 +16,7 @@
     # Members that fit on a worker, by worker number; only where any fit.
     Room = dict[int, int]
     Score = collections.abc.Callable[
-        [fleet.Fleet, 'Gang', Room], list[int] | None
+        [fleet.Fleet, 'Gang', Room, 'Outlook'], list[int] | None
     ]
 
 SCORES: registry.Registry[Score] = registry.Registry('placement score')
@@ -44,24 +44,46 @@
         return self.members * self.need.accelerators
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Outlook:
+    """What is expected of the time to come.
+
+    Attributes:
+        run_ms: How long the gang runs.
+        now_ms: The time.
+        busy_until_ms: Until when each worker has other work.
+    """
+
+    run_ms: float
+    now_ms: float
+    busy_until_ms: collections.abc.Mapping[int, float]
+
+    def added_ms(self, worker: int) -> float:
+        """Returns for how much longer a worker has work with the gang."""
+        until_ms = self.busy_until_ms.get(worker, 0.0)
+        busy_ms = max(until_ms - self.now_ms, 0.0)
+        return max(self.run_ms - busy_ms, 0.0)
+
+
 def free_room(workers: fleet.Fleet, gang: Gang) -> Room:
     """Returns where members of a gang fit now."""
     eligible = workers.eligible(gang.selector)
     silent = workers.silent
-    wanted = gang.need.accelerators
+    need = gang.need
+    processors = workers.free_processors
+    memory_mb = workers.free_memory
     room: Room = {}
-    if wanted:
-        for number, free in enumerate(workers.free_accelerators):
-            if free >= wanted and eligible[number] and number not in silent:
-                fit = workers.members_that_fit(number, gang.need)
-                if fit:
-                    room[number] = fit
-        return room
-    for number in range(len(workers)):
-        if eligible[number] and number not in silent:
-            fit = workers.members_that_fit(number, gang.need)
-            if fit:
-                room[number] = fit
+    # Written out, since it runs over all workers for each gang.
+    for number, fit in enumerate(workers.free_accelerators):
+        if fit < need.accelerators or not eligible[number]:
+            continue
+        fit = fit // need.accelerators if need.accelerators else gang.members
+        if need.processors:
+            fit = min(fit, processors[number] // need.processors)
+        if need.memory_mb:
+            fit = min(fit, memory_mb[number] // need.memory_mb)
+        if fit > 0 and number not in silent:
+            room[number] = fit
     return room
 
 
@@ -117,7 +139,7 @@
 
 @SCORES.register('first-fit')
 def first_fit(
-    workers: fleet.Fleet, gang: Gang, room: Room
+    workers: fleet.Fleet, gang: Gang, room: Room, outlook: Outlook
 ) -> list[int] | None:
     """Takes the first workers that there are; a baseline."""
     for group in domains(workers, gang.adjacency, room):
@@ -128,7 +150,9 @@
 
 
 @SCORES.register('adjacent')
-def adjacent(workers: fleet.Fleet, gang: Gang, room: Room) -> list[int] | None:
+def adjacent(
+    workers: fleet.Fleet, gang: Gang, room: Room, outlook: Outlook
+) -> list[int] | None:
     """Lies closely together and leaves whole workers and racks free.
 
     A gang that fits on one worker takes the one that it fills best. Else
@@ -139,16 +163,20 @@
         for number, fit in room.items()
         if not workers.is_avoided(number)
     }
-    chosen = _adjacent(workers, gang, preferred)
+    chosen = _adjacent(workers, gang, preferred, outlook)
     if chosen is None and len(preferred) < len(room):
-        chosen = _adjacent(workers, gang, room)
+        chosen = _adjacent(workers, gang, room, outlook)
     return chosen
 
 
 def _adjacent(
-    workers: fleet.Fleet, gang: Gang, room: Room
+    workers: fleet.Fleet, gang: Gang, room: Room, outlook: Outlook
 ) -> list[int] | None:
-    single = _best_worker(workers, gang, room)
+    if gang.adjacency is states.Adjacency.ANY:
+        pieces = _fill_pieces(workers, gang, room, outlook)
+        if pieces is not None:
+            return pieces
+    single = _best_worker(workers, gang, room, outlook)
     if single is not None or gang.adjacency is states.Adjacency.WORKER:
         return single
     racks = _rack_room(workers, room)
@@ -160,29 +188,54 @@
     return _fill_racks(workers, gang, room, racks)
 
 
+def _fill_pieces(
+    workers: fleet.Fleet, gang: Gang, room: Room, outlook: Outlook
+) -> list[int] | None:
+    """Puts a gang that may lie anywhere onto partly used workers.
+
+    What is left of them is of no use to gangs that need a whole worker.
+    """
+    free = workers.free_accelerators
+    total = workers.accelerators
+    pieces = {
+        number: fit
+        for number, fit in room.items()
+        if free[number] < total[number]
+    }
+    single = _best_worker(workers, gang, pieces, outlook)
+    if single is not None:
+        return single
+    if sum(pieces.values()) < gang.members:
+        return None
+    racks = _rack_room(workers, pieces)
+    rack = _best_rack(workers, gang, racks)
+    if rack is not None:
+        return _fill_rack(workers, gang, pieces, racks[rack][1])
+    return _take_racks(workers, gang, pieces, racks, list(racks))
+
+
 def _best_worker(
-    workers: fleet.Fleet, gang: Gang, room: Room
+    workers: fleet.Fleet, gang: Gang, room: Room, outlook: Outlook
 ) -> list[int] | None:
-    """Returns the worker with the least left over, in the fullest rack."""
+    """Returns the worker on which the gang spoils least.
+
+    What is spoiled are the accelerators beside the gang, for as long as the
+    worker has work because of it. Between equals the fullest one is taken.
+    """
     free = workers.free_accelerators
+    total = workers.accelerators
     best = None
-    best_key: tuple[int, int] | None = None
+    best_key: tuple[float, int] | None = None
     for number, fit in room.items():
         if fit < gang.members:
             continue
-        if best_key is not None and free[number] > best_key[0]:
-            continue
-        key = (free[number], _rack_free(workers, number))
+        beside = total[number] - gang.accelerators
+        key = (outlook.added_ms(number) * beside, free[number])
         if best_key is None or key < best_key:
             best, best_key = number, key
     return None if best is None else [best] * gang.members
 
 
-def _rack_free(workers: fleet.Fleet, number: int) -> int:
-    free = workers.free_accelerators
-    return sum(free[other] for other in workers.racks[workers.rack_of(number)])
-
-
 def _rack_room(
     workers: fleet.Fleet, room: Room
 ) -> dict[int, tuple[int, list[int]]]:
--- a/banyantrack/placement/reasons.py
+++ b/banyantrack/placement/reasons.py
@@ -101,8 +101,3 @@
         f'waits for room: what is free is kept for job {name!r}, which is'
         f' expected to start in {at_s:.0f} s'
     )
-
-
-def not_considered(position: int) -> str:
-    """Returns that other jobs come first."""
-    return f'waits its turn: {position} jobs are before it in the queue'
--- a/banyantrack/placement/scheduler.py
+++ b/banyantrack/placement/scheduler.py
@@ -13,6 +13,7 @@
 from banyantrack.generated.intent import ttypes as intent
 from banyantrack.placement import allotments
 from banyantrack.placement import attribution
+from banyantrack.placement import consolidation
 from banyantrack.placement import estimates
 from banyantrack.placement import places
 from banyantrack.placement import queues
@@ -43,10 +44,21 @@
 RECLAIM_BACKOFF_MS = 2000
 # A plan to reclaim is given up after this time without its room.
 PLAN_TIMEOUT_S = 30.0
+# How old the expected ends of running work may be.
+BUSY_REFRESH_S = 5.0
+# A round ends after this time; the next one goes on where it ended.
+ROUND_LIMIT_S = 0.03
+# Time between two moves of small work.
+CONSOLIDATE_PERIOD_S = 20.0
+# A long queue is sorted anew only this often; a short one in every round.
+SORT_PERIOD_S = 0.5
+SHORT_QUEUE = 200
+# Jobs at the head of the queue that every round looks at.
+HEAD_JOBS = 8
 # How long a kept start for a job that waits for room stands.
 HEAD_REFRESH_S = 2.0
-# Gangs from this share of the biggest rack on keep room for themselves.
-HEAD_SHARE = 0.5
+# Gangs from this size on keep room for themselves.
+HEAD_ACCELERATORS = 8
 
 
 @dataclasses.dataclass(slots=True)
@@ -73,6 +85,7 @@
     victims: str = 'least-loss'
     queue: str = 'aged-shortest'
     backfill: bool = True
+    consolidate: bool = True
 
 
 @dataclasses.dataclass(slots=True)
@@ -139,6 +152,15 @@
         self._deadlines_checked_ms = 0
         self._labels_checked = -1
         self._never_generation = -1
+        self._now_ms = 0
+        self._busy_until_ms: dict[int, float] = {}
+        self._busy_at = float('-inf')
+        self._refused: set[tuple[object, ...]] = set()
+        self._refused_at = (-1, -1)
+        self._resume_at = 0
+        self._consolidated_at = float('-inf')
+        self._queue_order: list[str] = []
+        self._ordered_at = float('-inf')
         self._never_reasons: dict[places.Gang, str] = {}
 
     @property
@@ -228,6 +250,7 @@
         Args:
             now_ms: The time, in milliseconds since 1970.
         """
+        self._now_ms = now_ms
         self._ledger.sync()
         for worker in self._attribution.expired():
             self._ledger.fleet.avoid(worker, False)
@@ -241,6 +264,8 @@
             self._move_excluded(decisions)
         self._drop_reservations()
         self._start_waiting(decisions, now_ms)
+        if self._policies.consolidate and not decisions:
+            self._consolidate(decisions)
         return decisions
 
     # Work that has to stop.
@@ -301,6 +326,49 @@
                     decisions, status, Event.STOPPING, Reason.LABELS
                 )
 
+    def _consolidate(self, decisions: Decisions) -> None:
+        """Moves the work of one worker while no small work waits."""
+        now_s = time.monotonic()
+        if now_s - self._consolidated_at < CONSOLIDATE_PERIOD_S:
+            return
+        if self._reservations or not self._only_large_wait():
+            return
+        self._consolidated_at = now_s
+        moved = consolidation.plan(
+            self._ledger.fleet, self._ledger.allotments, self._movable
+        )
+        for name in moved:
+            status = self._state.jobs.get(name)
+            self._add_event(
+                decisions, status, Event.STOPPING, Reason.CONSOLIDATE
+            )
+
+    def _only_large_wait(self) -> bool:
+        if len(self._ledger.waiting) > HEAD_JOBS:
+            return False
+        return all(
+            allotments.gang_of(self._ledger.job(name)).accelerators
+            >= HEAD_ACCELERATORS
+            for name in self._ledger.waiting
+        )
+
+    def _movable(self, name: str, allotment: allotments.Allotment) -> bool:
+        job = self._ledger.job(name)
+        status = self._state.jobs.get(name)
+        if job is None or not job.checkpointable or job.urgent:
+            return False
+        if status.allotment != intent.AllotmentState.RUNNING:
+            return False
+        progress_ms = self._progress.progress_ms(name)
+        left_ms = self._estimates.remaining_ms(
+            job.customer, job.run_time_ms, progress_ms
+        )
+        return (
+            left_ms >= consolidation.SHORTEST_LEFT_MS
+            and self._progress.unsaved_ms(name)
+            >= consolidation.SHORTEST_RUN_MS
+        )
+
     def _drop_reservations(self) -> None:
         now_s = time.monotonic()
         for name, reservation in list(self._reservations.items()):
@@ -313,29 +381,50 @@
     # Waiting jobs.
 
     def _start_waiting(self, decisions: Decisions, now_ms: int) -> None:
-        order = self._ordered(now_ms)
+        order = self._current_order(now_ms)
         if not order:
             self._head = None
             return
-        refused: set[tuple[object, ...]] = set()
+        self._forget_refusals()
         head_seen = False
-        for position, name in enumerate(order):
-            if position >= JOBS_PER_ROUND:
-                self._reasons[name] = reasons.not_considered(position)
-                continue
+        started_at = time.perf_counter()
+        for position, name in self._round_jobs(order):
             if len(decisions.places) >= STARTS_PER_ROUND:
                 break
-            started = self._consider(decisions, name, now_ms, refused)
-            if started or head_seen or not self._policies.backfill:
-                if not started and not self._policies.backfill:
-                    # Without backfill nothing may pass the first job.
-                    break
-                continue
-            head_seen = self._keep_room(name)
+            started = self._consider(decisions, name, now_ms)
+            if not started and not self._policies.backfill:
+                # Without backfill nothing may pass the first job.
+                break
+            if not started and not head_seen:
+                head_seen = self._keep_room(name)
+            if time.perf_counter() - started_at > ROUND_LIMIT_S:
+                self._resume_at = position + 1
+                break
+        else:
+            self._resume_at = 0
         if not head_seen:
             self._head = None
         self._forget_reasons()
 
+    def _round_jobs(
+        self, order: list[str]
+    ) -> collections.abc.Iterator[tuple[int, str]]:
+        """Yields the first jobs, then those after the last round's end."""
+        head = min(HEAD_JOBS, len(order))
+        yield from enumerate(order[:head])
+        first = max(self._resume_at, head)
+        if first >= len(order):
+            first = head
+        last = min(first + JOBS_PER_ROUND, len(order))
+        yield from enumerate(order[first:last], first)
+
+    def _forget_refusals(self) -> None:
+        """Forgets which gangs did not fit, once anything has changed."""
+        now = (self._ledger.fleet.generation, len(self._reservations))
+        if now != self._refused_at:
+            self._refused_at = now
+            self._refused.clear()
+
     def _forget_reasons(self) -> None:
         if len(self._reasons) > 2 * len(self._ledger.waiting) + 64:
             self._reasons = {
@@ -344,6 +433,25 @@
                 if name in self._ledger.waiting
             }
 
+    def _current_order(self, now_ms: int) -> list[str]:
+        now_s = time.monotonic()
+        waiting = self._ledger.waiting
+        short = len(waiting) <= SHORT_QUEUE
+        if short or now_s - self._ordered_at >= SORT_PERIOD_S:
+            self._ordered_at = now_s
+            self._queue_order = self._ordered(now_ms)
+        else:
+            known = [n for n in self._queue_order if n in waiting]
+            if len(known) < len(waiting):
+                fresh = waiting.keys() - set(known)
+                # New urgent work does not wait for the next sort.
+                known = (
+                    sorted(n for n in fresh if self._ledger.job(n).urgent)
+                    + known
+                )
+            self._queue_order = known
+        return self._queue_order
+
     def _ordered(self, now_ms: int) -> list[str]:
         keyed = []
         shares: dict[str, float] = {}
@@ -395,7 +503,6 @@
         decisions: Decisions,
         name: str,
         now_ms: int,
-        refused: set[tuple[object, ...]],
     ) -> bool:
         """Starts a job if it can; returns whether it did."""
         status = self._ledger.waiting[name]
@@ -407,8 +514,8 @@
         gang = allotments.gang_of(job)
         guarantee = self._charge(job.customer, gang.accelerators)
         signature = (gang, guarantee, job.urgent, job.customer)
-        if signature in refused and name not in self._reservations:
-            self._reasons[name] = self._reasons.get(
+        if signature in self._refused and name not in self._reservations:
+            self._reasons.setdefault(
                 name, reasons.no_room(self._ledger.fleet, gang, {})
             )
             return False
@@ -422,7 +529,7 @@
             return True
         if guarantee or job.urgent:
             self._reclaim(decisions, name, job, gang, guarantee, now_ms)
-        refused.add(signature)
+        self._refused.add(signature)
         return False
 
     def _backoff_left(self, status: intent.JobStatus, now_ms: int) -> float:
@@ -462,7 +569,7 @@
         if reservation is not None:
             return self._find_reserved(name, reservation)
         room = self._room(gang, name, job)
-        workers = self._score(fleet, gang, room)
+        workers = self._score(fleet, gang, room, self._outlook(name, job))
         if workers is None:
             never = self._never(gang)
             text = never or reasons.no_room(fleet, gang, room)
@@ -473,7 +580,7 @@
             self._reasons[name] = text
             return None
         if guarantee and not self._witness_allows(gang, guarantee, workers):
-            workers = self._on_shapes(gang, guarantee, room)
+            workers = self._on_shapes(name, job, gang, guarantee, room)
             if workers is None:
                 self._reasons[name] = reasons.guarantees(gang.accelerators)
         return workers
@@ -506,6 +613,18 @@
             )
         return reservation.workers if allowed else None
 
+    def _outlook(self, name: str, job: intent.Job) -> places.Outlook:
+        self._refresh_busy()
+        return places.Outlook(
+            self._remaining_ms(name, job), self._now_ms, self._busy_until_ms
+        )
+
+    def _remaining_ms(self, name: str, job: intent.Job) -> float:
+        status = self._ledger.waiting[name]
+        return self._estimates.remaining_ms(
+            job.customer, job.run_time_ms, status.progress_ms
+        )
+
     def _room(
         self, gang: places.Gang, name: str, job: intent.Job
     ) -> places.Room:
@@ -517,11 +636,7 @@
                     room.pop(worker, None)
         head = self._head
         if head is not None and head.name != name and not job.urgent:
-            status = self._ledger.waiting[name]
-            remaining_ms = self._estimates.remaining_ms(
-                job.customer, job.run_time_ms, status.progress_ms
-            )
-            if remaining_ms > head.start_in_ms:
+            if self._remaining_ms(name, job) > head.start_in_ms:
                 for worker in head.workers:
                     room.pop(worker, None)
         return room
@@ -548,7 +663,12 @@
         }
 
     def _on_shapes(
-        self, gang: places.Gang, guarantee: str, room: places.Room
+        self,
+        name: str,
+        job: intent.Job,
+        gang: places.Gang,
+        guarantee: str,
+        room: places.Room,
     ) -> list[int] | None:
         """Returns free workers within the guarantee's own witness."""
         own = {
@@ -556,7 +676,9 @@
             for worker, fit in self._shape_room(gang, guarantee).items()
             if worker in room
         }
-        workers = self._score(self._ledger.fleet, gang, own)
+        workers = self._score(
+            self._ledger.fleet, gang, own, self._outlook(name, job)
+        )
         if workers and self._witness_allows(gang, guarantee, workers):
             return workers
         return None
@@ -571,6 +693,7 @@
     ) -> None:
         status = self._ledger.waiting[name]
         numbers = array.array('H', workers)
+        self._note_busy(workers, self._remaining_ms(name, job))
         decisions.places.append(
             intent.PlaceCommand(
                 job=name,
@@ -600,15 +723,7 @@
         if name in self._reservations:
             return False
         gang = allotments.gang_of(self._ledger.job(name))
-        fleet = self._ledger.fleet
-        biggest = max(
-            (
-                sum(fleet.accelerators[worker] for worker in rack)
-                for rack in fleet.racks
-            ),
-            default=0,
-        )
-        if gang.accelerators < HEAD_SHARE * min(biggest, 16):
+        if gang.accelerators < HEAD_ACCELERATORS:
             return False
         now_s = time.monotonic()
         head = self._head
@@ -626,7 +741,12 @@
     ) -> _Head | None:
         """Returns the workers on which a gang can start soonest."""
         fleet = self._ledger.fleet
-        busy_ms = self._busy_ms()
+        self._refresh_busy()
+        busy_ms = {
+            worker: until_ms - self._now_ms
+            for worker, until_ms in self._busy_until_ms.items()
+            if until_ms > self._now_ms
+        }
         room = places.empty_room(fleet, gang)
         best: tuple[float, list[int]] | None = None
         for group in places.domains(fleet, gang.adjacency, room):
@@ -637,9 +757,13 @@
             return None
         return _Head(name, frozenset(best[1]), best[0], now_s)
 
-    def _busy_ms(self) -> dict[int, float]:
-        """Returns how long each worker is expected to have work."""
-        busy: dict[int, float] = {}
+    def _refresh_busy(self) -> None:
+        """Works out until when each worker is expected to have work."""
+        now_s = time.monotonic()
+        if now_s - self._busy_at < BUSY_REFRESH_S:
+            return
+        self._busy_at = now_s
+        self._busy_until_ms = {}
         for name, allotment in self._ledger.allotments.items():
             job = self._ledger.job(name)
             if job is None:
@@ -649,10 +773,15 @@
                 job.run_time_ms,
                 self._progress.progress_ms(name),
             )
-            for worker in set(allotment.workers):
-                if left_ms > busy.get(worker, 0.0):
-                    busy[worker] = left_ms
-        return busy
+            self._note_busy(allotment.workers, left_ms)
+
+    def _note_busy(
+        self, workers: collections.abc.Iterable[int], left_ms: float
+    ) -> None:
+        until_ms = self._now_ms + left_ms
+        for worker in workers:
+            if until_ms > self._busy_until_ms.get(worker, 0.0):
+                self._busy_until_ms[worker] = until_ms
 
     # Reclaim.
 
--- a/banyantrack/placement/witness.py
+++ b/banyantrack/placement/witness.py
@@ -12,6 +12,7 @@
 from __future__ import annotations
 
 import array
+import collections
 import dataclasses
 import typing
 
@@ -170,6 +171,8 @@
         against the change, but it must not take away another's.
         """
         self._grow()
+        if self._takes_nothing(change):
+            return True
         saved = self._save()
         before = sum(self.infeasible.values())
         self.pin(change.pinned)
@@ -181,6 +184,27 @@
         self.pin(change.pinned, -1)
         return allowed
 
+    def _takes_nothing(self, change: Change) -> bool:
+        """Whether a change leaves the accelerators of all shapes alone.
+
+        Fewer shapes of the same size need no new proof.
+        """
+        entitlement = change.entitlement
+        if entitlement is not None:
+            known = self._entitlements.get(entitlement.guarantee)
+            if known is None or known.selector != entitlement.selector:
+                return False
+            if known.adjacency is not entitlement.adjacency:
+                return False
+            if not set(entitlement.sizes()) <= set(known.sizes()):
+                return False
+            if entitlement.remaining > known.remaining:
+                return False
+        return all(
+            self._assigned[worker] + count <= self.available(worker)
+            for worker, count in change.pinned.items()
+        )
+
     def check(self) -> None:
         """Asserts that the proof holds for every shape that has one.
 
@@ -188,10 +212,15 @@
             InvariantError: If it does not.
         """
         self._grow()
-        assigned = array.array('i', bytes(4 * len(self._fleet)))
+        assigned: dict[int, int] = collections.defaultdict(int)
         for name, shapes in self._shapes.items():
             entitlement = self._entitlements[name]
-            total = sum(shape.size for shape in shapes)
+            total = 0
+            for shape in shapes:
+                total += shape.size
+                self._check_shape(entitlement, shape)
+                for worker, count in shape.slots.items():
+                    assigned[worker] += count
             errors.check_invariant(
                 total == entitlement.remaining,
                 'guarantee %s has shapes of %d for %d accelerators',
@@ -199,13 +228,9 @@
                 total,
                 entitlement.remaining,
             )
-            for shape in shapes:
-                self._check_shape(entitlement, shape)
-                for worker, count in shape.slots.items():
-                    assigned[worker] += count
-        for worker, count in enumerate(assigned):
+        for worker, count in assigned.items():
             errors.check_invariant(
-                count <= max(self.available(worker), 0),
+                count <= self.available(worker),
                 'worker %s is witness for %d accelerators of %d',
                 self._fleet.name(worker),
                 count,
--- a/banyantrack/tests/test_settings.py
+++ b/banyantrack/tests/test_settings.py
@@ -91,15 +91,15 @@
             'http_address: 127.0.0.1', 'http_address: 192.0.2.1'
         )
         found = self._findings(text)
-        self.assertTrue('off loopback' in found[0], found)
+        self.assertIn('off loopback', found[0])
 
     def test_heartbeat_longer_than_election(self) -> None:
         text = GOOD_CONTROL + 'replication: {heartbeat_ms: 400}\n'
-        self.assertTrue('at most half' in self._findings(text)[0])
+        self.assertIn('at most half', self._findings(text)[0])
 
     def test_deep_nesting_is_refused(self) -> None:
         found = self._findings('name: ' + '[' * 60 + ']' * 60)
-        self.assertTrue('nested deeper' in found[0], found)
+        self.assertIn('nested deeper', found[0])
 
 
 class TestFuzz(testtools.TestCase):
--- a/banyantrack/tests/test_wal.py
+++ b/banyantrack/tests/test_wal.py
@@ -164,7 +164,9 @@
     def test_failed_sync_is_fatal(self) -> None:
         log = self.fill(range(1, 3))
         failure = OSError(errno.EIO, 'input/output error')
-        with mock.patch.object(os, 'fdatasync', side_effect=failure):
+        with mock.patch.object(
+            os, 'fdatasync', autospec=True, side_effect=failure
+        ):
             self.assertRaises(errors.StorageError, log.sync)
 
 
--- a/schema/intent.thrift
+++ b/schema/intent.thrift
@@ -161,7 +161,7 @@
 
 enum StopReason {
   NONE = 0, RECLAIM = 1, MEMBER_FAILED = 2, LEASE_LAPSED = 3, CANCELLED = 4,
-  DEADLINE = 5, LABELS = 6, HOLD_FAILED = 7, OVERRUN = 8
+  DEADLINE = 5, LABELS = 6, HOLD_FAILED = 7, OVERRUN = 8, CONSOLIDATE = 9
 }
 
 struct JobEventCommand {
