Generate smaller message classes; one-by-one commits as the baseline

Cause: resident memory 38 MB against 32. Measured by import: generated classes 9.4 MB of it, ssl 4.4, asyncio 3.6. Change: the dynamic generator, whose classes share their reading and writing.

--- a/banyantrack/replication/replica.py
+++ b/banyantrack/replication/replica.py
@@ -628,6 +628,13 @@
             async with self._log_lock:
                 if self.is_leader and self._queue:
                     await self._write_batch()
+            if not self._options.group_commit:
+                await self._wait_agreed(self._storage.log.last_index)
+
+    async def _wait_agreed(self, index: int) -> None:
+        """Waits until an entry is agreed, while this member leads."""
+        while self.is_leader and self._commit_index < index:
+            await self._progressed.wait()
 
     async def _write_batch(self) -> None:
         """Appends what waits as one batch, syncs it and tells the peers."""
--- a/tools/generate.py
+++ b/tools/generate.py
@@ -40,7 +40,7 @@
     """Replaces the generated Python packages."""
     with tempfile.TemporaryDirectory() as folder:
         for name in PACKAGES:
-            run_thrift('py:slots', SCHEMA / f'{name}.thrift', folder)
+            run_thrift('py:dynamic,slots', SCHEMA / f'{name}.thrift', folder)
         made = pathlib.Path(folder) / 'banyantrack' / 'generated'
         shutil.rmtree(GENERATED, ignore_errors=True)
         GENERATED.mkdir(parents=True)
