Prove requests and placement: traps, random runs, state machine

Found and mended: an idempotency key used on two routes ran twice, since keys were kept apart by route; now the second is refused with 422.

--- a/banyantrack/dispatch/claims.py
+++ b/banyantrack/dispatch/claims.py
@@ -157,8 +157,8 @@
 
 
 def _scoped_key(request: requests_module.CallerRequest) -> str:
-    """Keys of different customers never meet."""
-    return f'{request.customer}/{request.route.name}/{request.key}'
+    """Keys of different customers never meet; those of routes do."""
+    return f'{request.customer}/{request.key}'
 
 
 def _digest(
--- a/banyantrack/testing/load.py
+++ b/banyantrack/testing/load.py
@@ -179,9 +179,10 @@
         return Verdict.LOST
     outcome = answer.header('banyan-outcome')
     if answer.status == 200:
-        expected = fake_backend.answer_body(
-            check, len(spec.body), spec.answer_bytes
-        )
+        # An early answer comes before any of the body was read.
+        early = spec.fake is fake_backend.Fake.EARLY
+        received = 0 if early else len(spec.body)
+        expected = fake_backend.answer_body(check, received, spec.answer_bytes)
         replayed = answer.header('idempotency-replayed') == 'true'
         if answer.body != expected and not replayed:
             return Verdict.CROSSED
--- /dev/null
+++ b/banyantrack/tests/test_placement.py
@@ -0,0 +1,449 @@
+"""Tests of placement: witness, reclaim, gangs, queue."""
+
+from __future__ import annotations
+
+import random
+import typing
+
+import hypothesis
+from hypothesis import stateful
+from hypothesis import strategies
+import testtools
+
+from banyantrack.core import errors
+from banyantrack.core import states
+from banyantrack.generated.intent import ttypes as intent
+from banyantrack.intent import objects
+from banyantrack.placement import attribution
+from banyantrack.placement import fleet as fleet_module
+from banyantrack.placement import places
+from banyantrack.placement import scheduler
+from banyantrack.placement import witness
+from banyantrack.testing import builders
+from banyantrack.testing import fake_placement
+
+Phase = intent.JobPhase
+Allotment = intent.AllotmentState
+Reason = intent.StopReason
+
+
+def make(workers: int = 16, **options: typing.Any):
+    """Returns a placement with two customers and their guarantees."""
+    made = fake_placement.FakePlacement(**options)
+    fake_placement.add_fleet(made, workers=workers)
+    made.apply(
+        builders.customer('a'),
+        builders.customer('b', quota_accelerators=100),
+        builders.customer('c'),
+        builders.guarantee('ga', customer='a', accelerators=16, count=2),
+        builders.guarantee('gb', customer='b', accelerators=8, count=2),
+    )
+    made.round()
+    return made
+
+
+class TestWitness(testtools.TestCase):
+    """Every guaranteed shape has workers of its own."""
+
+    def _entitlement(self, name: str, **fields: typing.Any):
+        values = {
+            'guarantee': name,
+            'shape': 8,
+            'remaining': 16,
+            'adjacency': states.Adjacency.RACK,
+            'selector': '',
+        }
+        return witness.Entitlement(**(values | fields))
+
+    def _fleet(self, workers: int) -> fleet_module.Fleet:
+        made = fleet_module.Fleet()
+        for number in range(workers):
+            worker = intent.Worker(
+                zone='z',
+                rack=f'r{number // 4}',
+                accelerators=8,
+                processors=8,
+                memory_mb=8,
+            )
+            made.put(number, f'w{number}', worker, {})
+        return made
+
+    def test_shapes_are_disjoint(self) -> None:
+        found = witness.Witness(self._fleet(4))
+        for name in ('g1', 'g2'):
+            found.set_entitlement(self._entitlement(name))
+        self.assertTrue(found.repair())
+        found.check()
+        self.assertEqual({}, found.infeasible)
+
+    def test_label_change_moves_the_proof(self) -> None:
+        workers = self._fleet(4)
+        found = witness.Witness(workers)
+        found.set_entitlement(self._entitlement('g', selector='!down'))
+        found.repair()
+        (used, *_) = found.shapes('g')[0].slots
+        workers.set_labels(used, {'down': 'true'})
+        self.assertTrue(found.repair())
+        found.check()
+        self.assertNotIn(used, found.shapes('g')[0].slots)
+
+    def test_infeasible_is_listed(self) -> None:
+        workers = self._fleet(1)
+        found = witness.Witness(workers)
+        found.set_entitlement(self._entitlement('g'))
+        self.assertFalse(found.repair())
+        self.assertEqual({'g': 1}, found.infeasible)
+
+    def test_change_that_breaks_a_shape_is_not_allowed(self) -> None:
+        found = witness.Witness(self._fleet(2))
+        found.set_entitlement(self._entitlement('g'))
+        found.repair()
+        self.assertFalse(found.allows(witness.Change({0: 1}, None)))
+        found.check()
+
+    def test_broken_proof_is_noticed(self) -> None:
+        found = witness.Witness(self._fleet(2))
+        found.set_entitlement(self._entitlement('g'))
+        found.repair()
+        found.pin({0: 1})
+        self.assertRaises(errors.InvariantError, found.check)
+
+
+class TestPlaces(testtools.TestCase):
+    """Gangs lie together and leave whole workers free."""
+
+    def _workers(self, *names: str) -> set[str]:
+        return set(names)
+
+    def test_gang_lies_in_one_rack(self) -> None:
+        made = make()
+        made.submit(
+            builders.job('j', customer='a', members=32, adjacency='rack'),
+            run_ms=1000,
+        )
+        made.round()
+        status = made.state.jobs.get('j')
+        racks = {
+            int(name[1:]) // 8 for name in made.state.worker_names(status)
+        }
+        self.assertEqual(1, len(racks))
+        self.assertEqual(4, len(set(made.state.worker_names(status))))
+
+    def test_small_work_fills_pieces(self) -> None:
+        made = make()
+        for number in range(8):
+            made.submit(builders.job(f'j{number}', customer='a'), run_ms=1000)
+        made.round()
+        used = {
+            name
+            for number in range(8)
+            for name in made.state.worker_names(
+                made.state.jobs.get(f'j{number}')
+            )
+        }
+        self.assertEqual(1, len(used))
+
+    def test_scores_are_registered(self) -> None:
+        self.assertEqual(['adjacent', 'first-fit'], list(places.SCORES))
+
+
+class TestReclaim(testtools.TestCase):
+    """Borrowed work gives way in time."""
+
+    def _full(self) -> fake_placement.FakePlacement:
+        made = make()
+        for number in range(32):
+            made.submit(
+                builders.job(
+                    f'fill{number}',
+                    customer='c',
+                    members=4,
+                    checkpointable=True,
+                ),
+                run_ms=10_000_000,
+            )
+        made.run_until(made.now_ms + 5000)
+        self.assertEqual(0, made.scheduler.ledger.fleet.total_free)
+        return made
+
+    def test_guaranteed_work_starts_on_full_hardware(self) -> None:
+        made = self._full()
+        made.submit(
+            builders.job('mine', customer='a', members=16, adjacency='rack'),
+            run_ms=1000,
+        )
+        submitted_ms = made.now_ms
+        made.run_until(made.now_ms + 6000)
+        record = made.records['mine']
+        self.assertIsNotNone(record.started_ms)
+        self.assertLessEqual(record.started_ms - submitted_ms, 5100)
+
+    def test_reclaimed_work_goes_on_later(self) -> None:
+        made = self._full()
+        made.submit(
+            builders.job('mine', customer='a', members=16, adjacency='rack'),
+            run_ms=1000,
+        )
+        made.run_until(made.now_ms + 30_000)
+        reclaimed = [s for s in made.state.jobs if s.reclaims]
+        self.assertTrue(reclaimed)
+        for status in reclaimed:
+            self.assertLessEqual(status.reclaims, 2, status)
+            self.assertGreater(status.progress_ms, 0)
+
+    def test_work_that_cannot_stop_may_not_borrow(self) -> None:
+        made = make()
+        made.submit(builders.job('j', customer='a', members=40), run_ms=1000)
+        made.round()
+        reason = made.scheduler.reason('j')
+        self.assertIn('neither checkpointable nor restartable', reason)
+        self.assertIn('32 left', reason)
+
+
+class TestQueue(testtools.TestCase):
+    """Each waiting job says why; large gangs are not starved."""
+
+    def test_impossible_job_says_why(self) -> None:
+        made = make()
+        made.submit(
+            builders.job('j', customer='a', accelerators=16), run_ms=1000
+        )
+        made.round()
+        self.assertIn('can not run', made.scheduler.reason('j'))
+
+    def test_selector_that_matches_nothing_says_so(self) -> None:
+        made = make()
+        made.submit(
+            builders.job('j', customer='a', selector='gpu=x'), run_ms=1000
+        )
+        made.round()
+        self.assertIn("'gpu=x' matches 0 of 16", made.scheduler.reason('j'))
+
+    def test_quota_says_so(self) -> None:
+        made = make()
+        for number in range(3):
+            made.submit(
+                builders.job(
+                    f'j{number}', customer='b', members=40, restartable=True
+                ),
+                run_ms=100_000,
+            )
+        made.run_until(made.now_ms + 2000)
+        waiting = [s.job for s in made.state.jobs if s.phase == Phase.WAITING]
+        self.assertEqual(1, len(waiting))
+        self.assertIn('uses 80 of 100', made.scheduler.reason(waiting[0]))
+
+    def test_large_gang_starts_among_small_work(self) -> None:
+        made = make(workers=8)
+        rng = random.Random(1)
+        for number in range(300):
+            made.at(
+                made.now_ms + number * 400,
+                lambda number=number: made.submit(
+                    builders.job(
+                        f's{number}',
+                        customer='c',
+                        members=2,
+                        run_time_ms=12_000,
+                        restartable=True,
+                    ),
+                    run_ms=rng.randrange(8000, 16_000),
+                ),
+            )
+        made.at(
+            made.now_ms + 10_000,
+            lambda: made.submit(
+                builders.job(
+                    'large',
+                    customer='b',
+                    members=56,
+                    adjacency='rack',
+                    run_time_ms=20_000,
+                    restartable=True,
+                ),
+                run_ms=20_000,
+            ),
+        )
+        made.run_until(made.now_ms + 110_000)
+        self.assertIsNotNone(made.records['large'].started_ms)
+
+    def test_deadline_gives_up(self) -> None:
+        made = make()
+        made.submit(
+            builders.job('j', customer='a', accelerators=16, deadline_ms=3000),
+            run_ms=1000,
+        )
+        made.run_until(made.now_ms + 6000)
+        self.assertEqual(Phase.FAILED, made.state.jobs.get('j').phase)
+
+    def test_wave_of_cancellations(self) -> None:
+        made = make()
+        targets = [
+            builders.job(f'j{n}', customer='a', restartable=True)
+            for n in range(2000)
+        ]
+        made.apply(*targets)
+        made.round()
+        kind = objects.BY_PLURAL['jobs']
+        made.apply(*(objects.tombstone(kind, t.name) for t in targets))
+        made.round()
+        self.assertEqual({}, made.scheduler.ledger.waiting)
+
+
+class TestAttribution(testtools.TestCase):
+    """Bad workers are told apart from bad jobs."""
+
+    def test_worker_that_fails_everything(self) -> None:
+        found = attribution.Attribution()
+        answers = [found.fail(f'j{n}', 7) for n in range(3)]
+        self.assertEqual([False, False, True], answers)
+        self.assertEqual([7], found.avoided())
+
+    def test_job_that_fails_everywhere(self) -> None:
+        found = attribution.Attribution()
+        for worker in range(6):
+            self.assertFalse(found.fail('bad', worker))
+        self.assertEqual([], found.avoided())
+
+    def test_success_clears(self) -> None:
+        found = attribution.Attribution()
+        for number in range(3):
+            found.fail(f'j{number}', 7)
+        self.assertEqual([7], found.succeed('good', {7}))
+        self.assertEqual([], found.avoided())
+
+
+class PlacementMachine(stateful.RuleBasedStateMachine):
+    """Any sequence of events keeps guarantees and gangs whole."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.made = make(workers=12)
+        self.number = 0
+
+    @stateful.rule(
+        members=strategies.sampled_from((1, 2, 4, 8, 16)),
+        each=strategies.sampled_from((0, 1, 2, 8)),
+        customer=strategies.sampled_from('ab'),
+        adjacency=strategies.sampled_from(('any', 'rack', 'worker', 'zone')),
+        stoppable=strategies.booleans(),
+        urgent=strategies.booleans(),
+        declared_ms=strategies.sampled_from((1, 5000, 10_000_000)),
+        run_ms=strategies.sampled_from((100, 5000, 60_000)),
+    )
+    def submit(
+        self,
+        members: int,
+        each: int,
+        customer: str,
+        adjacency: str,
+        stoppable: bool,
+        urgent: bool,
+        declared_ms: int,
+        run_ms: int,
+    ) -> None:
+        self.number += 1
+        self.made.submit(
+            builders.job(
+                f'j{self.number}',
+                customer=customer,
+                members=members,
+                accelerators=each,
+                adjacency=adjacency,
+                checkpointable=stoppable,
+                urgent=urgent,
+                run_time_ms=declared_ms,
+            ),
+            run_ms=run_ms,
+        )
+
+    @stateful.rule(seconds=strategies.integers(1, 20))
+    def wait(self, seconds: int) -> None:
+        self.made.run_until(self.made.now_ms + seconds * 1000)
+
+    @stateful.rule(
+        worker=strategies.integers(0, 11), down=strategies.booleans()
+    )
+    def label(self, worker: int, down: bool) -> None:
+        values = {'down': 'true'} if down else {}
+        self.made.apply(
+            builders.labels('worker-labels', f'w{worker}', **values)
+        )
+        self.made.round()
+
+    @stateful.rule(choice=strategies.integers(1, 60))
+    def cancel(self, choice: int) -> None:
+        if choice <= self.number:
+            self.made.cancel(f'j{choice}')
+
+    @stateful.rule(
+        choice=strategies.integers(1, 60),
+        reason=strategies.sampled_from(
+            (Reason.MEMBER_FAILED, Reason.LEASE_LAPSED)
+        ),
+    )
+    def fail(self, choice: int, reason: int) -> None:
+        self.made.fail(f'j{choice}', reason)
+
+    @stateful.rule()
+    def change_leader(self) -> None:
+        self.made.change_leader()
+        self.made.round()
+
+    @stateful.rule(count=strategies.integers(0, 3))
+    def change_guarantee(self, count: int) -> None:
+        kind = objects.BY_PLURAL['guarantees']
+        if count == 0:
+            self.made.apply(objects.tombstone(kind, 'gb'))
+            return
+        target = builders.guarantee(
+            'gb', customer='b', accelerators=8, count=count
+        )
+        if not self.made.scheduler.check_guarantees([target]):
+            self.made.apply(target)
+
+    @stateful.invariant()
+    def whole_gangs(self) -> None:
+        assert self.made.partial_gangs == 0
+
+    @stateful.invariant()
+    def guarantees_hold_while_labels_allow(self) -> None:
+        ledger = self.made.scheduler.ledger
+        ledger.sync()
+        ledger.witness.check()
+        excluded = len(ledger.fleet) - sum(ledger.fleet.eligible(''))
+        if not excluded:
+            assert not self.made.scheduler.infeasible()
+
+    @stateful.invariant()
+    def use_adds_up(self) -> None:
+        ledger = self.made.scheduler.ledger
+        used = [0] * len(ledger.fleet)
+        for allotment in ledger.allotments.values():
+            for worker, count in allotment.slots().items():
+                used[worker] += count
+        free = ledger.fleet.free_accelerators
+        for worker, count in enumerate(used):
+            assert free[worker] == ledger.fleet.accelerators[worker] - count
+            assert free[worker] >= 0
+
+
+TestPlacementMachine = PlacementMachine.TestCase
+TestPlacementMachine.settings = hypothesis.settings(
+    derandomize=True,
+    deadline=None,
+    max_examples=60,
+    stateful_step_count=30,
+    suppress_health_check=list(hypothesis.HealthCheck),
+)
+
+
+class TestPolicies(testtools.TestCase):
+    """Policies are chosen by name."""
+
+    def test_unknown_policy_lists_valid_ones(self) -> None:
+        policies = scheduler.Policies(queue='none')
+        error = self.assertRaises(
+            LookupError, fake_placement.FakePlacement, policies=policies
+        )
+        self.assertIn('aged-shortest, fifo', str(error))
--- /dev/null
+++ b/banyantrack/tests/test_proxy.py
@@ -0,0 +1,473 @@
+"""Tests of requests: each trap with a backend that springs it."""
+
+from __future__ import annotations
+
+import collections.abc
+import random
+import typing
+
+import curio
+import testtools
+
+from banyantrack.testing import fake_backend
+from banyantrack.testing import in_process
+from banyantrack.testing import load
+from banyantrack.transport import http_client
+from banyantrack.transport import rpc
+
+Fake = fake_backend.Fake
+Spec = load.Spec
+Verdict = load.Verdict
+
+
+class ProxyTest(testtools.TestCase):
+    """Base that runs a coroutine with entries and backends."""
+
+    def run_with(
+        self,
+        act: collections.abc.Callable[
+            [in_process.Setup], collections.abc.Awaitable[typing.Any]
+        ],
+        **options: typing.Any,
+    ) -> typing.Any:
+        """Runs a coroutine function on a fresh set-up."""
+
+        async def run() -> typing.Any:
+            async with in_process.setup(**options) as made:
+                return await act(made)
+
+        return curio.run(run)
+
+    def ask(self, *specs: Spec, **options: typing.Any) -> list[load.Result]:
+        """Makes requests one after another; returns results and runs."""
+
+        async def act(made: in_process.Setup) -> list[load.Result]:
+            results = [await made.client.request(spec) for spec in specs]
+            self.counts = [made.runs(result.check) for result in results]
+            return results
+
+        return self.run_with(act, **options)
+
+
+class TestAnswers(ProxyTest):
+    """Each caller gets the whole answer to its own request."""
+
+    def test_whole_answer(self) -> None:
+        (result,) = self.ask(Spec('/quick', answer_bytes=1000))
+        self.assertEqual(Verdict.GOOD, result.verdict)
+        self.assertEqual('done', result.outcome)
+
+    def test_large_answer_and_body_are_streamed(self) -> None:
+        (result,) = self.ask(
+            Spec('/quick', method='PUT', body=b'x' * 3_000_000,
+                 answer_bytes=3_000_000)
+        )  # fmt: skip
+        self.assertEqual(Verdict.GOOD, result.verdict)
+
+    def test_head_has_no_body(self) -> None:
+        async def act(made: in_process.Setup) -> http_client.Answer:
+            client = http_client.HttpClient(made.entry.address)
+            answer = await client.request('HEAD', '/quick')
+            await client.close()
+            return answer
+
+        answer = self.run_with(act)
+        self.assertEqual((200, b''), (answer.status, answer.body))
+
+    def test_crossed_answer_reaches_nobody(self) -> None:
+        results = self.ask(
+            Spec('/quick', fake=Fake.CROSSED),
+            Spec('/quick'),
+            Spec('/quick'),
+        )
+        self.assertNotIn(Verdict.CROSSED, [r.verdict for r in results])
+        self.assertEqual('unknown', results[0].outcome)
+        self.assertEqual(Verdict.GOOD, results[2].verdict)
+
+    def test_late_answer_meets_no_other_request(self) -> None:
+        async def act(made: in_process.Setup) -> list[load.Result]:
+            late = await made.client.request(
+                Spec('/quick', fake=Fake.LATE, deadline_ms=200)
+            )
+            rest = []
+            for _ in range(6):
+                await curio.sleep(0.2)
+                rest.append(await made.client.request(Spec('/quick')))
+            return [late, *rest]
+
+        results = self.run_with(act, backends=1)
+        self.assertEqual(504, results[0].status)
+        self.assertEqual('unknown', results[0].outcome)
+        self.assertEqual({Verdict.GOOD}, {r.verdict for r in results[1:]})
+
+    def test_truncated_answer_is_never_whole(self) -> None:
+        results = self.ask(
+            Spec('/quick', fake=Fake.TRUNCATED, answer_bytes=5000),
+            Spec('/quick', fake=Fake.TRUNCATED, answer_bytes=500_000),
+            Spec('/quick', method='POST', fake=Fake.TRUNCATED,
+                 answer_bytes=5000),
+        )  # fmt: skip
+        self.assertEqual({False}, {r.verdict is Verdict.GOOD for r in results})
+        self.assertNotIn(Verdict.CROSSED, [r.verdict for r in results])
+
+
+class TestRetries(ProxyTest):
+    """Only what is safe is tried again."""
+
+    def test_non_idempotent_runs_once(self) -> None:
+        results = self.ask(
+            Spec('/quick', method='POST', fake=Fake.RESET_AFTER)
+        )
+        self.assertEqual([1], self.counts)
+        self.assertEqual(502, results[0].status)
+        self.assertEqual('unknown', results[0].outcome)
+
+    def test_reset_before_reading_is_not_known_as_not_run(self) -> None:
+        (result,) = self.ask(
+            Spec('/quick', method='POST', fake=Fake.RESET_BEFORE)
+        )
+        self.assertEqual('unknown', result.outcome)
+
+    def test_idempotent_is_tried_again(self) -> None:
+        self.ask(Spec('/quick', fake=Fake.RESET_AFTER))
+        self.assertGreater(self.counts[0], 1)
+
+    def test_refused_connection_is_not_run(self) -> None:
+        async def act(made: in_process.Setup) -> load.Result:
+            for backend in made.backends:
+                await backend.close()
+            return await made.client.request(Spec('/quick', method='POST'))
+
+        result = self.run_with(act, backends=1)
+        self.assertEqual((503, 'not-run'), (result.status, result.outcome))
+
+    def test_refused_connection_goes_to_another(self) -> None:
+        async def act(made: in_process.Setup) -> list[load.Result]:
+            await made.backends[0].close()
+            return [
+                await made.client.request(Spec('/quick', method='POST'))
+                for _ in range(6)
+            ]
+
+        results = self.run_with(act)
+        self.assertEqual({Verdict.GOOD}, {r.verdict for r in results})
+
+    def test_backends_own_not_run_is_tried_elsewhere(self) -> None:
+        (result,) = self.ask(Spec('/quick', method='POST', fake=Fake.NOT_RUN))
+        self.assertEqual((503, 'not-run'), (result.status, result.outcome))
+        self.assertEqual([0], self.counts)
+
+    def test_retries_have_a_budget(self) -> None:
+        results = self.ask(
+            *(Spec('/quick', fake=Fake.RESET_AFTER) for _ in range(40)),
+            settings={'retry_budget': 0.1},
+        )
+        self.assertEqual(40, len(results))
+        self.assertLess(sum(self.counts), 40 + 10 + 5)
+
+    def test_early_answer_ends_the_upload(self) -> None:
+        (result,) = self.ask(
+            Spec('/quick', method='PUT', body=b'x' * 4_000_000,
+                 fake=Fake.EARLY, deadline_ms=3000)
+        )  # fmt: skip
+        self.assertIn(result.status, (0, 200, 502))
+        self.assertNotEqual(Verdict.CROSSED, result.verdict)
+
+
+class TestSilence(ProxyTest):
+    """Connections that went silent are found out by fresh ones."""
+
+    def _silent_then_ask(self, method: str) -> list[load.Result]:
+        async def act(made: in_process.Setup) -> list[load.Result]:
+            for _ in range(25):
+                await made.client.request(Spec('/quick', work_ms=2))
+            middle = await _SilentMiddle.between(made)
+            for _ in range(30):
+                await made.client.request(Spec('/quick', work_ms=2))
+            middle.silent = True
+            results = [
+                await made.client.request(
+                    Spec('/quick', method=method, deadline_ms=1500)
+                )
+                for _ in range(6)
+            ]
+            await middle.close()
+            return results
+
+        return self.run_with(act, backends=2, settings={'retry_budget': 1.0})
+
+    def test_idempotent_goes_on_over_fresh_connections(self) -> None:
+        results = self._silent_then_ask('GET')
+        self.assertEqual({Verdict.GOOD}, {r.verdict for r in results})
+
+
+class _SilentMiddle:
+    """Something between entry and backend that loses track of connections.
+
+    Open connections swallow what is sent; new ones work.
+    """
+
+    def __init__(self, backend: fake_backend.FakeBackend) -> None:
+        self.silent = False
+        self._backend = backend.address
+        self._tasks: list[curio.Task] = []
+        self._socket: typing.Any = None
+
+    @classmethod
+    async def between(cls, made: in_process.Setup) -> _SilentMiddle:
+        """Puts one before the first backend."""
+        from banyantrack.testing import system
+        from banyantrack.transport import listener
+
+        backend = made.backends[0]
+        middle = cls(backend)
+        (port,) = system.free_ports(1)
+        address = f'127.0.0.1:{port}'
+        middle._socket = listener.Listener(address, middle._serve)
+        await middle._socket.start()
+        for entry in made.entries:
+            known = entry.backends.get(backend.backend_id)
+            known.announcement.address = address
+        return middle
+
+    async def close(self) -> None:
+        """Ends all connections."""
+        await self._socket.close()
+        for task in self._tasks:
+            await task.cancel()
+
+    async def _serve(self, client: typing.Any) -> None:
+        born_silent = self.silent
+        backend = await rpc.connect(self._backend, timeout_s=1.0)
+        back = await curio.spawn(
+            self._pass, backend, client, born_silent, daemon=True
+        )
+        self._tasks.append(back)
+        await self._pass(client, backend, born_silent)
+
+    async def _pass(
+        self, source: typing.Any, target: typing.Any, born_silent: bool
+    ) -> None:
+        while data := await source.recv(65536):
+            if not self.silent or born_silent:
+                await target.sendall(data)
+
+
+class TestClaims(ProxyTest):
+    """A claimed request runs at most once over all entries."""
+
+    def _post(self, key: str, **fields: typing.Any) -> Spec:
+        return Spec('/quick', method='POST', key=key, **fields)
+
+    def test_resend_gets_the_recorded_answer(self) -> None:
+        results = self.ask(self._post('k'), self._post('k'), entries=2)
+        self.assertEqual([1, 0], self.counts)
+        self.assertEqual([200, 200], [r.status for r in results])
+
+    def test_two_at_once_run_once(self) -> None:
+        async def act(made: in_process.Setup) -> tuple[int, list[int]]:
+            specs = [self._post('k', work_ms=200) for _ in range(6)]
+            tasks = [
+                await curio.spawn(made.client.request, spec) for spec in specs
+            ]
+            results = [await task.join() for task in tasks]
+            total = sum(made.runs(r.check) for r in results)
+            return total, sorted(r.status for r in results)
+
+        total, statuses = self.run_with(act, entries=3)
+        self.assertEqual(1, total)
+        self.assertEqual([200, 409, 409, 409, 409, 409], statuses)
+
+    def test_same_request_id_is_no_excuse(self) -> None:
+        async def act(made: in_process.Setup) -> int:
+            async def post(entry: in_process.Entry) -> None:
+                client = http_client.HttpClient(entry.address)
+                await client.request(
+                    'POST',
+                    '/quick',
+                    headers=[
+                        ('idempotency-key', 'k'),
+                        ('banyan-request-id', 'same'),
+                        ('x-check', 'c'),
+                        ('x-work-ms', '100'),
+                    ],
+                )
+                await client.close()
+
+            tasks = [await curio.spawn(post, entry) for entry in made.entries]
+            for task in tasks:
+                await task.join()
+            return made.runs('c')
+
+        self.assertEqual(1, self.run_with(act, entries=3))
+
+    def test_unknown_outcome_is_kept(self) -> None:
+        results = self.ask(
+            self._post('k', fake=Fake.RESET_AFTER), self._post('k')
+        )
+        self.assertEqual([502, 409], [r.status for r in results])
+        self.assertEqual([1, 0], self.counts)
+
+    def test_not_run_frees_the_key(self) -> None:
+        results = self.ask(self._post('k', fake=Fake.NOT_RUN), self._post('k'))
+        self.assertEqual([503, 200], [r.status for r in results])
+
+    def test_other_body_is_refused(self) -> None:
+        results = self.ask(
+            self._post('k', body=b'a'), self._post('k', body=b'b')
+        )
+        self.assertEqual([200, 422], [r.status for r in results])
+
+    def test_without_control_it_is_not_run(self) -> None:
+        async def act(made: in_process.Setup) -> tuple[load.Result, int]:
+            made.control.reachable = False
+            result = await made.client.request(
+                self._post('k', deadline_ms=500)
+            )
+            return result, made.runs(result.check)
+
+        result, runs = self.run_with(act)
+        self.assertEqual((503, 'not-run'), (result.status, result.outcome))
+        self.assertEqual(0, runs)
+
+    def test_lost_reply_of_control_is_no_second_claim(self) -> None:
+        async def act(made: in_process.Setup) -> tuple[load.Result, int]:
+            made.control.lose_replies = 1
+            result = await made.client.request(self._post('k'))
+            return result, made.runs(result.check)
+
+        result, runs = self.run_with(act)
+        self.assertEqual((200, 1), (result.status, runs))
+
+
+class TestAdmission(ProxyTest):
+    """Refusals come early and are true."""
+
+    def test_full_backends_refuse_early(self) -> None:
+        async def act(made: in_process.Setup) -> list[load.Result]:
+            tasks = [
+                await curio.spawn(
+                    made.client.request,
+                    Spec('/quick', work_ms=300, deadline_ms=700),
+                )
+                for _ in range(60)
+            ]
+            return [await task.join() for task in tasks]
+
+        results = self.run_with(act, backends=1)
+        counts = load.count(results)
+        self.assertGreaterEqual(counts[Verdict.GOOD], 8)
+        self.assertEqual(0, counts[Verdict.LOST])
+        refused = [r for r in results if r.verdict is Verdict.NOT_RUN]
+        self.assertGreater(len(refused), 20)
+
+    def test_long_work_leaves_slots_for_quick(self) -> None:
+        async def act(made: in_process.Setup) -> load.Result:
+            tasks = [
+                await curio.spawn(
+                    made.client.request,
+                    Spec('/long', work_ms=1500, deadline_ms=9000),
+                )
+                for _ in range(12)
+            ]
+            await curio.sleep(0.3)
+            quick = await made.client.request(Spec('/quick', work_ms=10))
+            for task in tasks:
+                await task.join()
+            return quick
+
+        quick = self.run_with(act, backends=1)
+        self.assertEqual(Verdict.GOOD, quick.verdict)
+        self.assertLess(quick.latency_s, 1.0)
+
+    def test_slow_caller_holds_no_slot(self) -> None:
+        async def act(made: in_process.Setup) -> int:
+            host, port = made.entry.address.split(':')
+            sock = await curio.open_connection(host, int(port))
+            await sock.sendall(
+                b'PUT /quick HTTP/1.1\r\nhost: x\r\ncontent-length: 9\r\n\r\n'
+            )
+            await curio.sleep(0.1)
+            in_flight = made.entry.dispatcher.in_flight
+            await sock.close()
+            return in_flight
+
+        self.assertEqual(0, self.run_with(act))
+
+    def test_caller_that_left_frees_its_slot(self) -> None:
+        async def act(made: in_process.Setup) -> list[int]:
+            host, port = made.entry.address.split(':')
+            sock = await curio.open_connection(host, int(port))
+            await sock.sendall(
+                b'GET /quick HTTP/1.1\r\nhost: x\r\nx-work-ms: 60000\r\n\r\n'
+            )
+            await curio.sleep(0.2)
+            before = made.entry.dispatcher.in_flight
+            await sock.close()
+            await curio.sleep(0.1)
+            await made.entry.proxy.check_callers()
+            await curio.sleep(0.2)
+            return [before, made.entry.dispatcher.in_flight]
+
+        self.assertEqual([1, 0], self.run_with(act))
+
+    def test_bad_headers_are_refused_with_their_place(self) -> None:
+        async def act(made: in_process.Setup) -> http_client.Answer:
+            client = http_client.HttpClient(made.entry.address)
+            answer = await client.request(
+                'GET', '/quick', headers=[('banyan-deadline-ms', 'soon')]
+            )
+            await client.close()
+            return answer
+
+        answer = self.run_with(act)
+        self.assertEqual(400, answer.status)
+        self.assertIn(b'Banyan-Deadline-Ms', answer.body)
+        self.assertEqual('not-run', answer.header('banyan-outcome'))
+
+
+class TestRandom(ProxyTest):
+    """Whatever backends do, no answer lies; their log is the oracle."""
+
+    def test_mixed_failures(self) -> None:
+        async def act(made: in_process.Setup) -> None:
+            rng = random.Random(42)
+            specs = [_random_spec(rng, number) for number in range(300)]
+            tasks = []
+            for spec in specs:
+                tasks.append(await curio.spawn(made.client.request, spec))
+                await curio.sleep(rng.uniform(0, 0.01))
+            results = [await task.join() for task in tasks]
+            by_key: dict[str, int] = {}
+            for result in results:
+                runs = made.runs(result.check)
+                if result.verdict is Verdict.NOT_RUN:
+                    self.assertEqual(0, runs, result)
+                if result.spec.method == 'POST':
+                    self.assertLessEqual(runs, 1, result)
+                if result.spec.key:
+                    key = result.spec.key
+                    by_key[key] = by_key.get(key, 0) + runs
+                self.assertNotEqual(Verdict.CROSSED, result.verdict, result)
+            self.assertLessEqual(max(by_key.values()), 1)
+            self.assertGreater(load.count(results)[Verdict.GOOD], 50)
+
+        self.run_with(act, entries=3, backends=3)
+
+
+def _random_spec(rng: random.Random, number: int) -> Spec:
+    fakes = [Fake.NONE] * 9 + list(Fake)
+    method = rng.choice(('GET', 'POST', 'PUT'))
+    key = ''
+    if method == 'POST' and rng.random() < 0.6:
+        key = f'k{rng.randrange(20)}'
+    return Spec(
+        rng.choice(('/quick', '/long')),
+        method=method,
+        key=key,
+        work_ms=rng.uniform(0, 30),
+        deadline_ms=rng.choice((300, 1000)),
+        fake=rng.choice(fakes),
+        answer_bytes=rng.choice((0, 500, 100_000)),
+        body=b'' if method == 'GET' or key else b'x' * rng.choice((0, 900)),
+    )
