Prove daemons, transport and membership; add the soak

Cause: leases, fail-over, tokens and bad input were unproved on real daemons. Found and mended: a lease shorter than two report waits lapses between two answers and stops healthy gangs (seen with 1,500 ms against waits of 1,000); settings now refuse it.

--- a/banyantrack/core/settings.py
+++ b/banyantrack/core/settings.py
@@ -88,6 +88,15 @@
             f'got heartbeat_ms {replication.heartbeat_ms}; valid is at most'
             f' half of election_timeout_ms {replication.election_timeout_ms}',
         )
+    placement = settings.placement
+    if placement.report_wait_ms * 5 > placement.lease_ms * 2:
+        # A lease counts from a report that may wait for its answer, and
+        # must outlast the wait of the next one too.
+        found.add(
+            source,
+            f'got report_wait_ms {placement.report_wait_ms}; valid is at'
+            f' most two fifths of lease_ms {placement.lease_ms}',
+        )
     _check_tokens(source, settings, found)
 
 
--- a/banyantrack/daemons/entry.py
+++ b/banyantrack/daemons/entry.py
@@ -196,6 +196,13 @@
         async with curio.ignore_after(grace_s):
             while server.active:
                 await curio.sleep(STOP_CHECK_S)
+        if server.active:
+            logs.event(
+                _LOG,
+                'stop_cut',
+                level=logging.WARNING,
+                requests=server.active,
+            )
 
     def _add_entries(self, addresses: list[str] | None) -> None:
         for address in addresses or ():
--- a/banyantrack/testing/fake_worker.py
+++ b/banyantrack/testing/fake_worker.py
@@ -136,7 +136,7 @@
         self._memory_mb = memory_mb
         self._labels = labels or {}
         self._observer = observer or GangObserver()
-        self._fails_everything = fails_everything
+        self.fails_everything = fails_everything
         self._wait_ms = wait_ms
         self._rng = rng or random.Random()
         self._incarnation = int(time.time() * 1000)
@@ -290,7 +290,7 @@
         )
         run_s = float(parameters.get('run_ms', 1000)) / 1000
         run_s = max(run_s - command['progress_ms'] / 1000, 0.0)
-        fails = self._fails_everything or (
+        fails = self.fails_everything or (
             self._rng.random() < float(parameters.get('fail', 0))
         )
         if fails:
--- /dev/null
+++ b/banyantrack/testing/soak.py
@@ -0,0 +1,662 @@
+"""Long run of real daemons under a seeded schedule of faults.
+
+At the end there is one verdict over what callers, backends, workers and
+operators recorded: each promise of the system with the count of what was
+tried. A failing run prints its seed and what went wrong.
+"""
+
+from __future__ import annotations
+
+import argparse
+import collections
+import dataclasses
+import enum
+import json
+import pathlib
+import random
+import sys
+import tempfile
+import time
+import typing
+
+import curio
+
+from banyantrack.testing import fake_backend
+from banyantrack.testing import fake_worker
+from banyantrack.testing import load
+from banyantrack.testing import system as system_module
+
+if typing.TYPE_CHECKING:
+    import collections.abc
+
+BACKENDS = 24
+WORKERS = 24
+QUICK_PER_S = 60.0
+LONG_PER_S = 2.0
+CLAIMED_PER_S = 8.0
+FAULT_PAUSE_S = (1.0, 3.0)
+# Longest time from acceptance until a change is in force everywhere.
+IN_FORCE_LIMIT_S = 6.0
+LEAVING_LIMIT_S = 2.0
+SETTLE_S = 40.0
+
+
+class Fault(enum.Enum):
+    """What the schedule does."""
+
+    KILL_CONTROL = 'kill-control'
+    PAUSE_CONTROL = 'pause-control'
+    WIPE_CONTROL = 'wipe-control'
+    WIPE_THEN_KILL = 'wipe-then-kill'
+    STOP_CONTROL = 'stop-control'
+    KILL_ENTRY = 'kill-entry'
+    PAUSE_ENTRY = 'pause-entry'
+    STOP_ENTRY = 'stop-entry'
+    LEAVE_BACKEND = 'leave-backend'
+    RESTART_WORKER = 'restart-worker'
+    SILENCE_WORKER = 'silence-worker'
+    BAD_WORKER = 'bad-worker'
+    LABEL_BACKEND = 'label-backend'
+    LABEL_WORKER = 'label-worker'
+    RACING_OPERATORS = 'racing-operators'
+    WAVE_OF_JOBS = 'wave-of-jobs'
+    WAVE_OF_CANCELLATIONS = 'wave-of-cancellations'
+    CHANGE_SETTINGS = 'change-settings'
+
+
+@dataclasses.dataclass(slots=True)
+class Promise:
+    """One promise and what was seen of it.
+
+    Attributes:
+        name: The promise.
+        tried: How often it was put to the test.
+        broken: What went against it.
+    """
+
+    name: str
+    tried: int = 0
+    broken: list[str] = dataclasses.field(default_factory=list)
+
+
+INTENT: list[dict[str, typing.Any]] = [
+    *({'kind': 'customer', 'name': name} for name in 'abcd'),
+    *(
+        {
+            'kind': 'guarantee',
+            'name': f'{name}-share',
+            'customer': name,
+            'accelerators': 16,
+            'adjacency': 'rack',
+        }
+        for name in 'abcd'
+    ),
+    {'kind': 'route', 'name': 'quick', 'prefix': '/quick', 'customer': 'a'},
+    {
+        'kind': 'route',
+        'name': 'long',
+        'prefix': '/long',
+        'service_class': 'long',
+        'deadline_ms': 20_000,
+        'customer': 'b',
+    },
+]
+
+
+class Soak:
+    """One run.
+
+    Args:
+        folder: Where everything lies.
+        seconds: How long faults go on.
+        seed: Decides the schedule.
+    """
+
+    def __init__(
+        self, folder: pathlib.Path, seconds: float, seed: int
+    ) -> None:
+        self._seconds = seconds
+        self._rng = random.Random(seed)
+        self._system = system_module.System(folder)
+        self._observer = fake_worker.GangObserver()
+        self._backends: list[fake_backend.FakeBackend] = []
+        self._left: list[fake_backend.FakeBackend] = []
+        self._workers: list[fake_worker.FakeWorker] = []
+        self._worker_tasks: dict[str, curio.Task] = {}
+        self._client = load.LoadClient(self._system.entry_http)
+        self._accepted: dict[str, tuple[int, str]] = {}
+        self._in_force: list[float] = []
+        self._races: list[list[int]] = []
+        self._infeasible: list[str] = []
+        self._counts: collections.Counter[str] = collections.Counter()
+        self._jobs = 0
+        self._changes = 0
+
+    async def run(self) -> list[Promise]:
+        """Runs; returns what was seen of each promise."""
+        try:
+            await self._start()
+            traffic = await curio.spawn(self._traffic, daemon=False)
+            stop_at = time.monotonic() + self._seconds
+            while time.monotonic() < stop_at:
+                await self._step()
+                await curio.sleep(self._rng.uniform(*FAULT_PAUSE_S))
+            await traffic.join()
+            await self._settle()
+            return await self._judge()
+        finally:
+            for task in self._worker_tasks.values():
+                await task.cancel()
+            for backend in [*self._backends, *self._left]:
+                await backend.close()
+            await self._client.close()
+            self._system.stop()
+
+    async def _start(self) -> None:
+        await self._system.start()
+        for number, port in enumerate(system_module.free_ports(BACKENDS)):
+            backend = fake_backend.FakeBackend(
+                f'b{number}',
+                f'127.0.0.1:{port}',
+                self._system.entry_http,
+                zone='abc'[number % 3],
+                rng=random.Random(number),
+            )
+            await backend.start()
+            self._backends.append(backend)
+        self._workers = fake_worker.make_fleet(
+            WORKERS, self._system.control_http, observer=self._observer
+        )
+        for worker in self._workers:
+            await self._run_worker(worker)
+
+        async def known() -> bool:
+            status = await self._system.get('/v1/status')
+            return bool(status) and status['workers']['known'] == WORKERS
+
+        await system_module.wait_for(known, 'workers')
+        await self._system.apply(INTENT)
+        await curio.sleep(1.0)
+
+    async def _run_worker(self, worker: fake_worker.FakeWorker) -> None:
+        task = await curio.spawn(worker.run)
+        self._worker_tasks[worker.name] = task
+
+    async def _traffic(self) -> None:
+        streams = [
+            load.Stream(lambda at_s: QUICK_PER_S, _quick),
+            load.Stream(lambda at_s: LONG_PER_S, _long),
+            load.Stream(lambda at_s: CLAIMED_PER_S, _claimed),
+        ]
+        await load.drive(
+            self._client,
+            streams,
+            seconds=self._seconds,
+            rng=random.Random(self._rng.random()),
+        )
+
+    # Faults.
+
+    async def _step(self) -> None:
+        """Does one or two things at once."""
+        faults = self._rng.sample(list(Fault), self._rng.choice((1, 1, 2)))
+        for fault in faults:
+            self._counts[fault.value] += 1
+            await self._take(fault)
+        await self._change()
+
+    async def _take(self, fault: Fault) -> None:
+        match fault:
+            case Fault.KILL_CONTROL:
+                await self._kill(self._rng.choice(self._system.control))
+            case Fault.PAUSE_CONTROL:
+                await self._pause(self._rng.choice(self._system.control))
+            case Fault.WIPE_CONTROL:
+                await self._wipe(self._rng.choice(self._system.control))
+            case Fault.WIPE_THEN_KILL:
+                wiped = self._rng.choice(self._system.control)
+                if await self._wipe(wiped):
+                    others = [p for p in self._system.control if p != wiped]
+                    await self._kill(self._rng.choice(others))
+            case Fault.STOP_CONTROL:
+                await self._restart(self._rng.choice(self._system.control))
+            case Fault.KILL_ENTRY:
+                await self._kill(self._rng.choice(self._system.entries))
+            case Fault.PAUSE_ENTRY:
+                await self._pause(self._rng.choice(self._system.entries))
+            case Fault.STOP_ENTRY:
+                await self._stop_entry()
+            case Fault.LEAVE_BACKEND:
+                await self._leave_backend()
+            case _:
+                await self._take_outside(fault)
+
+    async def _take_outside(self, fault: Fault) -> None:
+        """Faults of workers, and what operators do."""
+        worker = self._rng.choice(self._workers)
+        match fault:
+            case Fault.RESTART_WORKER:
+                worker.restart()
+            case Fault.SILENCE_WORKER:
+                await self._worker_tasks[worker.name].cancel()
+                worker.restart()
+                await self._run_worker(worker)
+            case Fault.BAD_WORKER:
+                worker.fails_everything = not worker.fails_everything
+            case Fault.LABEL_BACKEND:
+                backend = self._rng.choice(self._backends)
+                await self._label('backends', backend.backend_id)
+            case Fault.LABEL_WORKER:
+                await self._label('workers', worker.name)
+            case Fault.RACING_OPERATORS:
+                await self._race()
+            case Fault.WAVE_OF_JOBS:
+                await self._submit(self._rng.randint(5, 30))
+            case Fault.WAVE_OF_CANCELLATIONS:
+                await self._cancel()
+            case Fault.CHANGE_SETTINGS:
+                await self._apply(
+                    {
+                        'kind': 'route',
+                        'name': 'quick',
+                        'prefix': '/quick',
+                        'customer': 'a',
+                        'queue_limit': self._rng.randint(100, 300),
+                    }
+                )
+
+    async def _healthy(self) -> bool:
+        """Whether the group can bear to lose a member."""
+        document = await self._system.get('/v1/members')
+        if document is None or document['changing']:
+            return False
+        voters = [m for m in document['members'] if m['role'] != 'learner']
+        return len(document['members']) == len(voters) == 3 and all(
+            m['reachable'] for m in voters
+        )
+
+    async def _kill(self, process: system_module.Process) -> None:
+        if process in self._system.control and not await self._healthy():
+            return
+        process.kill()
+        await curio.sleep(self._rng.uniform(0.1, 1.5))
+        process.start()
+
+    async def _pause(self, process: system_module.Process) -> None:
+        if process in self._system.control and not await self._healthy():
+            return
+        process.pause()
+        await curio.sleep(self._rng.uniform(0.3, 2.5))
+        process.resume()
+
+    async def _wipe(self, process: system_module.Process) -> bool:
+        """Loses a data folder and waits until it is replaced."""
+        if not await self._healthy():
+            return False
+        process.kill()
+        process.wipe()
+        process.start()
+        for _ in range(100):
+            await curio.sleep(0.1)
+            if await self._healthy():
+                return True
+        return False
+
+    async def _restart(self, process: system_module.Process) -> None:
+        if not await self._healthy():
+            return
+        process.terminate()
+        await curio.run_in_thread(process.wait)
+        process.start()
+
+    async def _stop_entry(self) -> None:
+        """Stops an entry as planned; the balancer reacts after a while."""
+        entry = self._rng.choice(self._system.entries)
+        if not entry.running or len(self._client.entries) < 5:
+            return
+        entry.terminate()
+        await curio.sleep(0.3)
+        self._client.entries.remove(entry.http_address)
+        await curio.run_in_thread(entry.wait)
+        entry.start()
+        await self._system.wait_entries()
+        self._client.entries.append(entry.http_address)
+
+    async def _leave_backend(self) -> None:
+        if len(self._backends) < BACKENDS - 6:
+            return
+        backend = self._rng.choice(self._backends)
+        self._backends.remove(backend)
+        self._left.append(backend)
+        await backend.leave()
+
+    # Operators.
+
+    async def _apply(self, document: dict[str, typing.Any]) -> int | None:
+        key = f'soak-{self._rng.getrandbits(64):x}'
+        for _ in range(40):
+            answer = await self._system.operate(
+                'POST',
+                '/v1/apply',
+                [document],
+                headers=[('idempotency-key', key)],
+            )
+            if answer is not None and answer.status == 200:
+                return json.loads(answer.body)['revision']
+            if answer is not None and answer.status in (412, 422):
+                return None
+            await curio.sleep(0.25)
+        return None
+
+    async def _change(self) -> None:
+        """Makes a change that must be kept and be in force in time."""
+        self._changes += 1
+        name = f'x{self._changes % 20}'
+        prefix = f'/x{self._changes}'
+        revision = await self._apply(
+            {'kind': 'route', 'name': name, 'prefix': prefix}
+        )
+        if revision is not None:
+            self._accepted[name] = (revision, prefix)
+            accepted_at = time.monotonic()
+            await curio.spawn(
+                self._watch_in_force, revision, accepted_at, daemon=True
+            )
+
+    async def _watch_in_force(self, revision: int, accepted_at: float) -> None:
+        running = {p.name: p.pid for p in self._system.entries if p.running}
+        for process in self._system.entries:
+            while True:
+                if running.get(process.name) != process.pid:
+                    # It was restarted and starts with something newer.
+                    break
+                answer = await system_module.ask(
+                    process.http_address, 'GET', '/healthz', timeout_s=4.0
+                )
+                if answer is not None and (
+                    json.loads(answer.body)['revision'] >= revision
+                ):
+                    break
+                if time.monotonic() - accepted_at > 3 * IN_FORCE_LIMIT_S:
+                    break
+                await curio.sleep(0.05)
+        self._in_force.append(time.monotonic() - accepted_at)
+
+    async def _label(self, of: str, name: str) -> None:
+        labels = {'down': 'true'} if self._rng.random() < 0.5 else {}
+        await self._system.operate(
+            'PUT', f'/v1/labels/{of}/{name}', {'labels': labels}
+        )
+
+    async def _race(self) -> None:
+        """Several operators change one object from the same revision."""
+        name = f'race{len(self._races)}'
+        revision = await self._apply({'kind': 'customer', 'name': name})
+        if revision is None:
+            return
+        statuses: list[int] = []
+
+        async def change(weight: int) -> None:
+            answer = await self._system.operate(
+                'PUT',
+                f'/v1/customers/{name}',
+                {'weight': weight},
+                headers=[
+                    ('if-match', f'"{revision}"'),
+                    ('idempotency-key', f'{name}-{weight}'),
+                ],
+            )
+            statuses.append(answer.status if answer else 0)
+
+        tasks = [await curio.spawn(change, weight) for weight in (2, 3, 4)]
+        for task in tasks:
+            await task.join()
+        self._races.append(statuses)
+
+    async def _submit(self, count: int) -> None:
+        documents = []
+        for _ in range(count):
+            self._jobs += 1
+            documents.append(
+                {
+                    'kind': 'job',
+                    'name': f'j{self._jobs}',
+                    'customer': self._rng.choice('abcd'),
+                    'members': self._rng.choice((1, 2, 4, 8, 16)),
+                    'adjacency': self._rng.choice(('any', 'rack')),
+                    'checkpointable': True,
+                    'urgent': self._rng.random() < 0.1,
+                    'run_time_ms': self._rng.choice((500, 3000, 60_000)),
+                    'parameters': {
+                        'run_ms': str(self._rng.choice((500, 1500, 3000)))
+                    },
+                }
+            )
+        await self._system.operate('POST', '/v1/apply', documents)
+
+    async def _cancel(self) -> None:
+        names = [
+            f'jobs/j{number}'
+            for number in range(1, self._jobs + 1)
+            if self._rng.random() < 0.3
+        ]
+        if names:
+            await self._system.operate('DELETE', '/v1/apply', names)
+
+    # The end.
+
+    async def _settle(self) -> None:
+        for process in self._system.processes:
+            if not process.running:
+                process.start()
+        for worker in self._workers:
+            worker.fails_everything = False
+            await self._system.operate(
+                'PUT', f'/v1/labels/workers/{worker.name}', {'labels': {}}
+            )
+
+        async def settled() -> bool:
+            listed = await self._system.get('/v1/jobs')
+            return bool(listed) and all(
+                job['status']['phase'] in ('completed', 'failed', 'cancelled')
+                for job in listed['items']
+            )
+
+        try:
+            await system_module.wait_for(settled, 'jobs', timeout_s=SETTLE_S)
+        except TimeoutError:
+            listed = await self._system.get('/v1/jobs') or {'items': []}
+            stuck = [
+                f'{job["name"]}: {job["status"]}'
+                for job in listed['items']
+                if job['status']['phase'] in ('waiting', 'placed')
+            ]
+            self._infeasible.extend(stuck[:3])
+
+    async def _judge(self) -> list[Promise]:
+        return [
+            await self._judge_guarantees(),
+            self._judge_gangs(),
+            self._judge_answers(),
+            self._judge_not_run(),
+            self._judge_at_most_once(),
+            self._judge_leaving(),
+            self._judge_stops(),
+            await self._judge_config(),
+            self._judge_races(),
+            self._judge_daemons(),
+        ]
+
+    async def _judge_guarantees(self) -> Promise:
+        promise = Promise('guaranteed shapes can be reclaimed', self._jobs)
+        status = await self._system.get('/v1/status') or {}
+        for name, count in status.get('infeasible_guarantees', {}).items():
+            promise.broken.append(f'{name} lacks {count} shapes at the end')
+        promise.broken.extend(self._infeasible)
+        return promise
+
+    def _judge_gangs(self) -> Promise:
+        promise = Promise('no gang runs in part or twice')
+        promise.tried = len({(j, e) for _, j, e in self._observer.starts})
+        for name, task in self._worker_tasks.items():
+            if task.terminated and isinstance(task.exception, Exception):
+                promise.broken.append(f'{name}: {task.exception}')
+        for job, epochs in self._observer.running.items():
+            left = [e for e, workers in epochs.items() if workers]
+            if left:
+                promise.broken.append(f'{job} still runs under {left}')
+        return promise
+
+    def _judge_answers(self) -> Promise:
+        results = self._client.results
+        promise = Promise('each caller gets the whole own answer')
+        promise.tried = len(results)
+        promise.broken = [
+            f'{r.check} at {r.entry}'
+            for r in results
+            if r.verdict is load.Verdict.CROSSED
+        ]
+        return promise
+
+    def _all_backends(self) -> list[fake_backend.FakeBackend]:
+        return [*self._backends, *self._left]
+
+    def _judge_not_run(self) -> Promise:
+        runs = fake_backend.run_counts(self._all_backends())
+        refused = [
+            r
+            for r in self._client.results
+            if r.verdict is load.Verdict.NOT_RUN
+        ]
+        promise = Promise('"not run" is true', len(refused))
+        promise.broken = [r.check for r in refused if runs[r.check]]
+        return promise
+
+    def _judge_at_most_once(self) -> Promise:
+        runs = fake_backend.run_counts(self._all_backends())
+        by_key: dict[str, int] = collections.Counter()
+        once = [r for r in self._client.results if r.spec.method == 'POST']
+        for result in once:
+            by_key[result.spec.key or result.check] += runs[result.check]
+        promise = Promise('non-idempotent runs at most once', len(once))
+        promise.broken = [
+            f'{key} ran {count} times'
+            for key, count in by_key.items()
+            if count > 1
+        ]
+        return promise
+
+    def _judge_leaving(self) -> Promise:
+        promise = Promise('a leaving backend gets no new work')
+        for backend in self._left:
+            promise.tried += 1
+            last = max(backend.arrivals_after_leaving, default=0.0)
+            after_s = last - (backend.leaving_at or last)
+            if after_s > LEAVING_LIMIT_S:
+                promise.broken.append(
+                    f'{backend.backend_id} after {after_s:.1f} s'
+                )
+        return promise
+
+    def _judge_stops(self) -> Promise:
+        promise = Promise(
+            'a planned stop cuts nothing', self._counts['stop-entry']
+        )
+        for process in self._system.entries:
+            for line in process.log.read_text().splitlines():
+                if 'event=stop_cut' in line:
+                    promise.broken.append(line)
+        return promise
+
+    async def _judge_config(self) -> Promise:
+        promise = Promise('accepted configuration is in force and stays')
+        promise.tried = len(self._accepted) + len(self._in_force)
+        late = [s for s in self._in_force if s > IN_FORCE_LIMIT_S]
+        if late:
+            promise.broken.append(f'in force after {max(late):.1f} s')
+        listed = await self._system.get('/v1/routes') or {'items': []}
+        found = {
+            route['name']: (route['revision'], route['prefix'])
+            for route in listed['items']
+        }
+        for name, accepted in self._accepted.items():
+            if found.get(name) != accepted:
+                promise.broken.append(
+                    f'{name}: accepted {accepted}, found {found.get(name)}'
+                )
+        return promise
+
+    def _judge_races(self) -> Promise:
+        promise = Promise('equal revisions have one winner', len(self._races))
+        for statuses in self._races:
+            if statuses.count(200) > 1:
+                promise.broken.append(str(statuses))
+        return promise
+
+    def _judge_daemons(self) -> Promise:
+        promise = Promise('invariants hold inside the daemons')
+        promise.tried = sum(self._counts.values())
+        for process in self._system.processes:
+            for line in process.log.read_text().splitlines():
+                if 'InvariantError' in line or 'event=failed' in line:
+                    promise.broken.append(f'{process.name}: {line[:300]}')
+        return promise
+
+    @property
+    def counts(self) -> collections.Counter[str]:
+        """How often each fault was tried."""
+        return self._counts
+
+
+def _quick(rng: random.Random) -> load.Spec:
+    return load.Spec(
+        '/quick',
+        work_ms=rng.expovariate(1 / 40),
+        deadline_ms=3000,
+        method='POST' if rng.random() < 0.2 else 'GET',
+    )
+
+
+def _long(rng: random.Random) -> load.Spec:
+    return load.Spec(
+        '/long', work_ms=rng.uniform(500, 2500), deadline_ms=20_000
+    )
+
+
+def _claimed(rng: random.Random) -> load.Spec:
+    return load.Spec(
+        '/quick',
+        work_ms=rng.expovariate(1 / 40),
+        deadline_ms=3000,
+        method='POST',
+        key=f'k{rng.randrange(400)}',
+    )
+
+
+def main() -> int:
+    """Runs and prints the verdict; returns the exit code."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument('--seconds', type=float, default=60.0)
+    parser.add_argument('--seed', type=int, default=1)
+    parser.add_argument('--folder', type=pathlib.Path)
+    options = parser.parse_args()
+    with tempfile.TemporaryDirectory() as name:
+        folder = options.folder or pathlib.Path(name)
+        folder.mkdir(parents=True, exist_ok=True)
+        soak = Soak(folder, options.seconds, options.seed)
+        promises = curio.run(soak.run)
+    print(f'seed {options.seed}, {options.seconds:.0f} s of faults')
+    told = ', '.join(f'{k} {n}' for k, n in sorted(soak.counts.items()))
+    print(f'tried: {told}')
+    for promise in promises:
+        state = 'BROKEN' if promise.broken else 'held'
+        print(f'{state:7} {promise.name}: {promise.tried} tried')
+        for line in promise.broken[:5]:
+            print(f'          {line}')
+    broken = any(promise.broken for promise in promises)
+    print('verdict:', 'broken' if broken else 'held')
+    return 1 if broken else 0
+
+
+if __name__ == '__main__':
+    sys.exit(main())
--- /dev/null
+++ b/banyantrack/tests/test_transport.py
@@ -0,0 +1,286 @@
+"""Tests of connections: bad input ends a connection, never a daemon."""
+
+from __future__ import annotations
+
+import collections.abc
+import struct
+import typing
+
+import curio
+import h11
+import hypothesis
+from hypothesis import strategies
+import testtools
+
+from banyantrack.core import codec
+from banyantrack.generated.cluster import ttypes as cluster
+from banyantrack.testing import system
+from banyantrack.transport import http
+from banyantrack.transport import http_client
+from banyantrack.transport import http_server
+from banyantrack.transport import rpc
+
+FUZZ = hypothesis.settings(
+    derandomize=True,
+    deadline=None,
+    max_examples=60,
+    suppress_health_check=list(hypothesis.HealthCheck),
+)
+
+
+def address() -> str:
+    """Returns a free loopback address."""
+    (port,) = system.free_ports(1)
+    return f'127.0.0.1:{port}'
+
+
+async def _echo(request: http_server.Request) -> None:
+    body = await request.read_body(100_000)
+    await request.respond(200, [], body)
+
+
+class HttpTest(testtools.TestCase):
+    """Base with a server that echoes."""
+
+    def talk(self, *pieces: bytes, end: bool = False) -> bytes:
+        """Sends raw bytes; returns the raw answer, then asks properly."""
+
+        async def run() -> bytes:
+            at = address()
+            server = http_server.HttpServer(at, _echo, caller_timeout_s=0.3)
+            await server.start()
+            sock = await rpc.connect(at, timeout_s=1.0)
+            answer = b''
+            try:
+                for piece in pieces:
+                    await sock.sendall(piece)
+                if end:
+                    await sock.shutdown(1)
+                async with curio.ignore_after(0.6):
+                    while data := await sock.recv(65536):
+                        answer += data
+            except OSError:
+                pass
+            await sock.close()
+            client = http_client.HttpClient(at)
+            again = await client.request('POST', '/', body=b'x')
+            self.assertEqual(b'x', again.body)
+            await client.close()
+            await server.close()
+            return answer
+
+        return curio.run(run)
+
+
+class TestBadHttp(HttpTest):
+    """Malformed requests get a clear answer."""
+
+    def test_garbage(self) -> None:
+        self.assertIn(b' 400 ', self.talk(b'GARBAGE\r\n\r\n'))
+
+    def test_large_head_in_one_piece(self) -> None:
+        head = b'GET / HTTP/1.1\r\nhost: x\r\nx: ' + b'a' * 40_000
+        self.assertIn(b' 431 ', self.talk(head + b'\r\n\r\n'))
+
+    def test_endless_head(self) -> None:
+        head = b'GET / HTTP/1.1\r\nhost: x\r\nx: '
+        answer = self.talk(head, *(b'a' * 8000 for _ in range(6)))
+        self.assertIn(b' 431 ', answer)
+
+    def test_request_cut_midway(self) -> None:
+        head = b'POST / HTTP/1.1\r\nhost: x\r\ncontent-length: 9\r\n\r\nab'
+        self.assertEqual(b'', self.talk(head, end=True))
+
+    def test_silent_caller(self) -> None:
+        head = b'POST / HTTP/1.1\r\nhost: x\r\ncontent-length: 9\r\n\r\nab'
+        self.assertIn(b' 408 ', self.talk(head))
+
+    def test_pipelined_requests_are_answered_in_order(self) -> None:
+        one = b'POST / HTTP/1.1\r\nhost: x\r\ncontent-length: 1\r\n\r\n%d'
+        answer = self.talk(one % 1 + one % 2)
+        self.assertTrue(answer.endswith(b'\r\n\r\n2'), answer)
+        self.assertEqual(2, answer.count(b' 200 '))
+
+    def test_expect_continue(self) -> None:
+        head = (
+            b'POST / HTTP/1.1\r\nhost: x\r\ncontent-length: 1\r\n'
+            b'expect: 100-continue\r\n\r\n'
+        )
+        self.assertIn(b' 100 ', self.talk(head, b'y'))
+
+    @FUZZ
+    @hypothesis.given(strategies.binary(max_size=200))
+    def test_any_bytes(self, data: bytes) -> None:
+        connection = h11.Connection(h11.SERVER)
+        connection.receive_data(data)
+        try:
+            while not isinstance(
+                connection.next_event(),
+                (h11.ConnectionClosed, type(h11.NEED_DATA)),
+            ):
+                pass
+        except h11.RemoteProtocolError:
+            pass
+
+
+class TestHeaders(testtools.TestCase):
+    """Headers that concern one connection are not passed on."""
+
+    def test_end_to_end(self) -> None:
+        headers = [
+            (b'connection', b'x-own, keep-alive'),
+            (b'x-own', b'1'),
+            (b'te', b'trailers'),
+            (b'accept', b'*/*'),
+        ]
+        self.assertEqual([(b'accept', b'*/*')], http.end_to_end(headers))
+
+
+class RpcTest(testtools.TestCase):
+    """Base with a server that answers gossip."""
+
+    def run_with(
+        self,
+        act: collections.abc.Callable[
+            [str], collections.abc.Awaitable[typing.Any]
+        ],
+    ) -> typing.Any:
+        """Runs a coroutine function with the address of a server."""
+
+        async def gossip(
+            request: cluster.GossipRequest,
+        ) -> cluster.GossipReply:
+            if request.entry == 'refuse':
+                raise rpc.CallError(cluster.ErrorCode.UNAVAILABLE, 'no')
+            if request.entry == 'slow':
+                await curio.sleep(0.3)
+            return cluster.GossipReply(revision=7, entry=request.entry)
+
+        async def run() -> typing.Any:
+            at = address()
+            server = rpc.RpcServer(at)
+            server.handle(cluster.GossipRequest, gossip, concurrent=True)
+            await server.start()
+            result = await act(at)
+            await server.close()
+            return result
+
+        return curio.run(run)
+
+
+class TestRpc(RpcTest):
+    """Replies meet their own calls."""
+
+    def test_crossed_replies_find_their_calls(self) -> None:
+        async def act(at: str) -> list[str]:
+            pool = rpc.RpcPool()
+
+            async def call(name: str) -> str:
+                request = cluster.GossipRequest(entry=name)
+                return (await pool.call(at, request, timeout_s=1)).entry
+
+            tasks = [await curio.spawn(call, n) for n in ('slow', 'a', 'b')]
+            names = [await task.join() for task in tasks]
+            await pool.close()
+            return names
+
+        self.assertEqual(['slow', 'a', 'b'], self.run_with(act))
+
+    def test_refusal(self) -> None:
+        async def act(at: str) -> int:
+            client = rpc.RpcClient(at)
+            try:
+                await client.call(
+                    cluster.GossipRequest(entry='refuse'), timeout_s=1
+                )
+            except rpc.CallError as error:
+                return error.code
+            finally:
+                await client.close()
+            return 0
+
+        self.assertEqual(cluster.ErrorCode.UNAVAILABLE, self.run_with(act))
+
+    def test_late_reply_closes_the_connection(self) -> None:
+        async def act(at: str) -> str:
+            client = rpc.RpcClient(at)
+            try:
+                await client.call(
+                    cluster.GossipRequest(entry='slow'), timeout_s=0.05
+                )
+            except rpc.TransportError as error:
+                self.assertTrue(error.sent)
+            reply = await client.call(
+                cluster.GossipRequest(entry='next'), timeout_s=1
+            )
+            await client.close()
+            return reply.entry
+
+        self.assertEqual('next', self.run_with(act))
+
+    def test_nobody_listens(self) -> None:
+        async def run() -> bool:
+            client = rpc.RpcClient(address())
+            try:
+                await client.call(cluster.GossipRequest(), timeout_s=1)
+            except rpc.TransportError as error:
+                return error.sent
+            return True
+
+        self.assertFalse(curio.run(run))
+
+
+class TestBadFrames(RpcTest):
+    """Wrong frames end their connection only."""
+
+    def _send(self, *frames: bytes) -> None:
+        async def act(at: str) -> None:
+            for frame in frames:
+                sock = await rpc.connect(at, timeout_s=1.0)
+                try:
+                    await sock.sendall(frame)
+                    await sock.shutdown(1)
+                    async with curio.ignore_after(0.5):
+                        self.assertEqual(b'', await sock.recv(100))
+                except OSError:
+                    pass
+                await sock.close()
+            client = rpc.RpcClient(at)
+            reply = await client.call(
+                cluster.GossipRequest(entry='ok'), timeout_s=1
+            )
+            self.assertEqual('ok', reply.entry)
+            await client.close()
+
+        self.run_with(act)
+
+    def _frame(self, **fields: typing.Any) -> bytes:
+        values = {
+            'version': 1,
+            'kind': 20,
+            'call_id': 1,
+            'reply': False,
+            'payload': b'',
+        }
+        data = codec.encode(cluster.Frame(**(values | fields)))
+        return struct.pack('>I', len(data)) + data
+
+    def test_wrong_frames(self) -> None:
+        self._send(
+            b'\xff\xff\xff\xff',
+            b'\0\0\0\5ab',
+            b'\0\0\0\3abc',
+            self._frame(version=99),
+            self._frame(kind=77),
+            self._frame(payload=b'\x19\xff\xff'),
+            self._frame(reply=True),
+        )
+
+    @FUZZ
+    @hypothesis.given(strategies.binary(max_size=100))
+    def test_any_payload_decodes_or_is_refused(self, data: bytes) -> None:
+        for struct_type in (cluster.Frame, cluster.GossipRequest):
+            try:
+                codec.decode(struct_type, data)
+            except codec.DecodeError:
+                pass
