--- /dev/null
+++ b/banyantrack/report/__init__.py
@@ -0,0 +1,1 @@
+"""Service-level burn, worked out from the entries' logs."""
--- a/schema/settings.thrift
+++ b/schema/settings.thrift
@@ -146,3 +146,23 @@
   // Operators' tokens; required off loopback.
   10: optional list<Token> tokens
 }
+
+// One service-level objective.
+struct Objective {
+  // Name of the objective.
+  1: required string name (form = "name")
+  // Route that it speaks of; empty for all.
+  2: optional string route (default = "", form = "name")
+  // Customer that it speaks of; empty for all.
+  3: optional string customer (default = "", form = "name")
+  // Share of requests that should be answered in time.
+  4: optional double target (default = "0.99", min = "0.5", max = "0.99999")
+  // Window of the error budget.
+  5: optional i32 window_s (default = "2592000", min = "60", max = "31536000")
+}
+
+// Settings of banyan-report.
+struct ReportSettings {
+  // The objectives.
+  1: required list<Objective> objectives (min = "1", max = "1000")
+}
