--- a/banyantrack/report/logs_reader.py
+++ b/banyantrack/report/logs_reader.py
@@ -97,6 +97,10 @@
         with opener(path, 'rt', encoding='utf-8', errors='replace') as file:
             for line in file:
                 reading.lines += 1
+                if not line.endswith('\n'):
+                    # A cut value may look like a whole one.
+                    unreadable += 1
+                    continue
                 try:
                     pairs = logs.parse_line(line)
                     at = datetime.datetime.fromisoformat(
--- /dev/null
+++ b/banyantrack/tests/test_dispatch.py
@@ -0,0 +1,141 @@
+"""Tests of queues, lanes and statistics of the dispatcher."""
+
+from __future__ import annotations
+
+import time
+
+import curio
+import testtools
+
+from banyantrack.dispatch import budget
+from banyantrack.dispatch import queueing
+from banyantrack.dispatch import requests
+from banyantrack.dispatch import statistics
+from banyantrack.testing import builders
+from banyantrack.testing import virtual
+
+
+class _Head:
+    headers: list[tuple[bytes, bytes]] = []
+    method = 'GET'
+
+
+def request(
+    customer: str = 'a', *, deadline_s: float = 10.0
+) -> requests.CallerRequest:
+    """Returns a request of a customer."""
+    stored = builders.route('q', prefix='/q')
+    route = requests.make_route('q', stored.route)
+    made = requests.CallerRequest(route, _Head(), 'r', 'c')
+    made.customer = customer
+    made.deadline = time.monotonic() + deadline_s
+    return made
+
+
+class TestQueue(testtools.TestCase):
+    """Earliest deadline first within a customer, fair between them."""
+
+    def _queue(self, **weights: float) -> queueing.LaneQueue:
+        return queueing.LaneQueue(lambda name: weights.get(name, 1.0))
+
+    def _order(self, queue: queueing.LaneQueue, count: int) -> str:
+        popped = (queue.pop(lambda waiter: True) for _ in range(count))
+        return ''.join(waiter.request.customer for waiter in popped)
+
+    def test_earliest_deadline(self) -> None:
+        async def run() -> list[float]:
+            queue = self._queue()
+            for deadline_s in (5.0, 1.0, 3.0):
+                made = request(deadline_s=deadline_s)
+                queue.push(queueing.Waiter(made))
+            found = [queue.pop(lambda waiter: True) for _ in range(3)]
+            return [round(w.request.left_s) for w in found]
+
+        self.assertEqual([1, 3, 5], curio.run(run))
+
+    def test_customers_by_weight(self) -> None:
+        queue = self._queue(a=3.0, b=1.0)
+        for customer in 'ab':
+            for _ in range(40):
+                queue.push(queueing.Waiter(request(customer)))
+        order = self._order(queue, 24)
+        self.assertEqual(18, order.count('a'))
+
+    def test_who_was_away_has_no_claim_on_the_past(self) -> None:
+        queue = self._queue()
+        for _ in range(40):
+            queue.push(queueing.Waiter(request('a')))
+        self._order(queue, 20)
+        for _ in range(20):
+            queue.push(queueing.Waiter(request('b')))
+        order = self._order(queue, 10)
+        self.assertIn(order.count('b'), (5, 6))
+
+    def test_discarded_is_skipped(self) -> None:
+        queue = self._queue()
+        waiters = [queueing.Waiter(request()) for _ in range(2)]
+        for waiter in waiters:
+            queue.push(waiter)
+        queue.discard(waiters[0])
+        self.assertEqual(1, len(queue))
+        self.assertIs(waiters[1], queue.pop(lambda waiter: True))
+        self.assertIsNone(queue.pop(lambda waiter: True))
+
+
+class TestRoutes(testtools.TestCase):
+    """The longest prefix that ends a segment wins."""
+
+    def test_find(self) -> None:
+        table = requests.RouteTable(
+            requests.make_route(name, builders.route(name, prefix=p).route)
+            for name, p in (('a', '/a'), ('ab', '/a/b'), ('root', '/'))
+        )
+        found = {
+            path: table.find(path).name
+            for path in ('/a', '/a/b/c', '/a/bc', '/ab', '/a?x=1')
+        }
+        self.assertEqual(
+            {
+                '/a': 'a',
+                '/a/b/c': 'ab',
+                '/a/bc': 'a',
+                '/ab': 'root',
+                '/a?x=1': 'a',
+            },
+            found,
+        )
+
+
+class TestStatistics(testtools.TestCase):
+    """Averages follow what happens."""
+
+    def test_run_times(self) -> None:
+        found = statistics.RunTimes()
+        for number in range(2000):
+            found.add(1.0 if number % 20 == 0 else 0.1)
+        self.assertAlmostEqual(0.1, found.median_s, delta=0.02)
+        self.assertGreater(found.high_s, 0.1)
+        self.assertTrue(found.trusted)
+
+    def test_rate_fades(self) -> None:
+        async def run() -> list[float]:
+            rate = statistics.DecayingRate(1.0)
+            for _ in range(100):
+                rate.add()
+                await curio.sleep(0.1)
+            steady = rate.value
+            await curio.sleep(5.0)
+            return [steady, rate.value]
+
+        steady, faded = virtual.run(run)
+        self.assertAlmostEqual(10.0, steady, delta=1.0)
+        self.assertLess(faded, 0.1)
+
+    def test_budget(self) -> None:
+        found = budget.RetryBudget(0.5)
+        taken = sum(found.take() for _ in range(100))
+        self.assertEqual(10, taken)
+        for _ in range(2):
+            found.note_first()
+        self.assertTrue(found.take())
+        self.assertFalse(found.take())
