Split the replica: proposals, memberships, joining

Cause: replica.py had grown to 1,040 lines. Change: what waits for entries, memberships by index and admission have modules of their own; behaviour is as it was.

--- a/banyantrack/replication/group.py
+++ b/banyantrack/replication/group.py
@@ -8,6 +8,7 @@
 from banyantrack.generated.cluster import ttypes as cluster
 from banyantrack.generated.replication import ttypes
 from banyantrack.replication import elections
+from banyantrack.replication import joining
 from banyantrack.transport import rpc
 
 if typing.TYPE_CHECKING:
@@ -30,6 +31,9 @@
     ) -> ttypes.HandOverReply:
         return await elections.receive_hand_over(member, request)
 
+    async def join(request: ttypes.JoinRequest) -> ttypes.JoinReply:
+        return await joining.receive_join(member, request)
+
     for request_type, handler in (
         (ttypes.VoteRequest, vote),
         (ttypes.HandOverRequest, hand_over),
@@ -37,7 +41,7 @@
         (ttypes.SnapshotRequest, member.receive_snapshot),
     ):
         server.handle(request_type, _guarded(member, handler))
-    server.handle(ttypes.JoinRequest, member.receive_join, concurrent=True)
+    server.handle(ttypes.JoinRequest, join, concurrent=True)
 
 
 def _guarded(member: replica.Replica, handler: rpc.Handler) -> rpc.Handler:
--- a/banyantrack/replication/replica.py
+++ b/banyantrack/replication/replica.py
@@ -8,7 +8,6 @@
 
 from __future__ import annotations
 
-import collections
 import logging
 import random
 import time
@@ -24,10 +23,12 @@
 from banyantrack.replication import api
 from banyantrack.replication import elections
 from banyantrack.replication import errors
+from banyantrack.replication import joining
+from banyantrack.replication import memberships
 from banyantrack.replication import peers
+from banyantrack.replication import proposals as proposals_module
 from banyantrack.replication import quorum
 from banyantrack.replication import storage as storage_module
-from banyantrack.transport import rpc
 
 if typing.TYPE_CHECKING:
     import collections.abc
@@ -37,27 +38,10 @@
     ]
 
 APPLY_BATCH = 64
-# Proposals that wait to be written; more are refused as not applied.
-PROPOSAL_LIMIT = 20_000
-JOIN_RETRY_S = 0.3
 _LOG = logging.getLogger(__name__)
 _Kind = ttypes.EntryKind
 
 
-class _Proposal:
-    """A payload on its way into the log."""
-
-    __slots__ = ('kind', 'payload', 'term', 'done', 'applied', 'error')
-
-    def __init__(self, kind: int, payload: bytes) -> None:
-        self.kind = kind
-        self.payload = payload
-        self.term = 0
-        self.done = curio.Event()
-        self.applied: api.Applied | None = None
-        self.error: errors.ReplicationError | None = None
-
-
 class Replica:
     """One member of a replicated log.
 
@@ -104,17 +88,15 @@
         self._handing_over = False
         self._stood_at = float('-inf')
         self._peers: dict[str, peers.PeerProgress] = {}
-        self._queue: collections.deque[_Proposal] = collections.deque()
-        self._waiting: dict[int, _Proposal] = {}
+        self._proposals = proposals_module.Proposals()
         self._log_lock = curio.Lock()
-        self._queued = signals.Signal()
         self._progressed = signals.Signal()
         self._committed = signals.Signal()
         self._applied = signals.Signal()
         self._failure: BaseException | None = None
         self._failed = curio.Event()
         self._tasks: set[curio.Task] = set()
-        self._memberships: list[tuple[int, ttypes.Membership]] = []
+        self._memberships = memberships.Memberships()
         self._restore()
 
     @property
@@ -175,12 +157,12 @@
     @property
     def membership(self) -> ttypes.Membership:
         """Members according to the latest entry about them."""
-        return self._memberships[-1][1]
+        return self._memberships.current
 
     @property
     def membership_index(self) -> int:
         """Index of that entry."""
-        return self._memberships[-1][0]
+        return self._memberships.index
 
     @property
     def heard_at(self) -> float:
@@ -251,9 +233,9 @@
             self._write_loop,
             self._apply_loop,
             elections.Elections(self).run,
-            self._join_loop,
         ):
             await self.spawn(work)
+        await self.spawn(joining.ask_for_admission, self, self._contacts)
         try:
             await self._failed.wait()
             raise self._failure
@@ -374,23 +356,17 @@
     ) -> api.Applied:
         if not self.is_leader or self._handing_over:
             raise self.not_leader()
-        if len(self._queue) >= PROPOSAL_LIMIT:
-            raise errors.NotAppliedError(
-                f'{PROPOSAL_LIMIT} proposals wait already'
-            )
-        if kind == _Kind.MEMBERSHIP and any(
-            waiting.kind == kind for waiting in self._queue
-        ):
+        if self._proposals.full:
+            raise errors.NotAppliedError('too many proposals wait already')
+        if kind == _Kind.MEMBERSHIP and self._proposals.waits(kind):
             raise errors.MembershipError('another change is in progress')
-        proposal = _Proposal(kind, payload)
-        self._queue.append(proposal)
-        await self._queued.notify()
+        proposal = proposals_module.Proposal(kind, payload)
+        await self._proposals.add(proposal)
         try:
             async with curio.timeout_after(timeout_s):
                 await proposal.done.wait()
         except curio.TaskTimeout:
-            if proposal.term == 0 and proposal in self._queue:
-                self._queue.remove(proposal)
+            if self._proposals.withdraw(proposal):
                 raise errors.NotAppliedError(
                     f'not written in {timeout_s:.3f} s'
                 ) from None
@@ -556,18 +532,12 @@
         logs.event(_LOG, 'leader_elected', term=self.term)
         # When this member stood, no later term had a leader.
         await self._follow_membership(contact_at=self._stood_at)
-        proposal = _Proposal(_Kind.NOOP, b'')
-        self._queue.append(proposal)
-        await self._queued.notify()
+        await self._proposals.add(proposals_module.Proposal(_Kind.NOOP, b''))
 
     async def _stop_leading(self) -> None:
         logs.event(_LOG, 'leader_stepped_down', term=self.term)
         self._peers = {}
-        error = self.not_leader()
-        while self._queue:
-            proposal = self._queue.popleft()
-            proposal.error = error
-            await proposal.done.set()
+        await self._proposals.refuse_queued(self.not_leader())
         await self._progressed.notify()
 
     def hear_leader(self) -> None:
@@ -581,31 +551,20 @@
         if snapshot is not None:
             self._machine.restore(snapshot.data)
             self._applied_index = snapshot.header.index
-        self._reset_memberships()
+        self._memberships.reset(self._storage.snapshot_header)
+        self._note_later_memberships(self._storage.snapshot_index)
+
+    def _note_later_memberships(self, index: int) -> None:
+        """Takes in the memberships in the log after an index."""
         log = self._storage.log
-        for index in range(log.start_index + 1, log.last_index + 1):
-            if index > self._storage.snapshot_index:
-                self._note_membership(log.entry(index))
-
-    def _reset_memberships(self) -> None:
-        header = self._storage.snapshot_header
-        if header is None:
-            self._memberships = [(0, quorum.empty_membership())]
-        else:
-            self._memberships = [(header.index, header.membership)]
-
-    def _note_membership(self, entry: ttypes.LogEntry) -> bool:
-        if entry.kind != _Kind.MEMBERSHIP:
-            return False
-        membership = storage_module.codec.decode(
-            ttypes.Membership, entry.payload
+        first = max(index, log.start_index) + 1
+        self._memberships.note_all(
+            log.entry(at) for at in range(first, log.last_index + 1)
         )
-        self._memberships.append((entry.index, membership))
-        return True
 
     def _append(self, entries: list[ttypes.LogEntry]) -> bool:
         self._storage.log.append(entries)
-        return any([self._note_membership(entry) for entry in entries])
+        return self._memberships.note_all(entries)
 
     def _truncate_from(self, index: int) -> None:
         core_errors.check_invariant(
@@ -615,18 +574,16 @@
             self._commit_index,
         )
         self._storage.log.truncate_from(index)
-        while self._memberships[-1][0] >= index:
-            self._memberships.pop()
+        self._memberships.truncate_from(index)
 
     async def _sync(self) -> None:
         await self._run_blocking(self._storage.log.sync)
 
     async def _write_loop(self) -> None:
         while True:
-            while not self._queue:
-                await self._queued.wait()
+            await self._proposals.wait()
             async with self._log_lock:
-                if self.is_leader and self._queue:
+                if self.is_leader and self._proposals:
                     await self._write_batch()
             if not self._options.group_commit:
                 await self._wait_agreed(self._storage.log.last_index)
@@ -639,7 +596,9 @@
     async def _write_batch(self) -> None:
         """Appends what waits as one batch, syncs it and tells the peers."""
         term = self.term
-        batch = self._take_batch()
+        batch = self._proposals.take_batch(
+            self._options.append_bytes, grouped=self._options.group_commit
+        )
         first = self._storage.log.last_index + 1
         entries = [
             ttypes.LogEntry(
@@ -656,8 +615,7 @@
             await self._refuse(batch, error)
             return
         for entry, proposal in zip(entries, batch, strict=True):
-            proposal.term = term
-            self._waiting[entry.index] = proposal
+            self._proposals.note_written(proposal, entry)
             if entry.kind == _Kind.NOOP:
                 self._term_start_index = entry.index
         if membership_changed:
@@ -669,24 +627,15 @@
         if self.is_leader and self.term == term:
             await self.advance_commit()
 
-    def _take_batch(self) -> list[_Proposal]:
-        batch = [self._queue.popleft()]
-        size = len(batch[0].payload)
-        while self._queue and self._options.group_commit:
-            size += len(self._queue[0].payload)
-            if size > self._options.append_bytes:
-                break
-            batch.append(self._queue.popleft())
-        return batch
-
     async def _refuse(
-        self, batch: list[_Proposal], error: errors.DiskFullError
+        self,
+        batch: list[proposals_module.Proposal],
+        error: errors.DiskFullError,
     ) -> None:
         logs.event(_LOG, 'disk_full', level=logging.ERROR, error=error)
         noop = any(proposal.kind == _Kind.NOOP for proposal in batch)
         for proposal in batch:
-            proposal.error = errors.NotAppliedError(str(error))
-            await proposal.done.set()
+            await proposal.fail(errors.NotAppliedError(str(error)))
         if noop:
             # A leader that cannot write its first entry can do nothing.
             await self.become_follower(self.term, None)
@@ -735,19 +684,7 @@
                 await self._membership_agreed(entry.index)
             elif entry.kind == _Kind.NOOP:
                 await self._membership_agreed(self.membership_index)
-            await self._resolve(entry, result)
-
-    async def _resolve(self, entry: ttypes.LogEntry, result: object) -> None:
-        proposal = self._waiting.pop(entry.index, None)
-        if proposal is None:
-            return
-        if proposal.term == entry.term:
-            proposal.applied = api.Applied(entry.index, result)
-        else:
-            proposal.error = errors.NotAppliedError(
-                f'another leader agreed on entry {entry.index}'
-            )
-        await proposal.done.set()
+            await self._proposals.resolve(entry, result)
 
     async def _maybe_snapshot(self) -> None:
         since = self._applied_index - self._storage.snapshot_index
@@ -758,7 +695,7 @@
         header = ttypes.SnapshotHeader(
             index=index,
             term=self._storage.term_at(index),
-            membership=self._membership_at(index),
+            membership=self._memberships.at(index),
             size=len(data),
             version=storage_module.files.FORMAT_VERSION,
         )
@@ -772,18 +709,7 @@
         # Followers that lag a little get entries instead of the snapshot.
         keep = header.index - self._options.snapshot_entries // 2
         self._storage.adopt_snapshot(header, keep)
-        self._memberships = [
-            (index, membership)
-            for index, membership in self._memberships
-            if index > header.index
-        ]
-        self._memberships.insert(0, (header.index, header.membership))
-
-    def _membership_at(self, index: int) -> ttypes.Membership:
-        for at, membership in reversed(self._memberships):
-            if at <= index:
-                return membership
-        return self._memberships[0][1]
+        self._memberships.compact(header)
 
     # Membership of a leader.
 
@@ -820,8 +746,9 @@
                 learners=membership.learners,
             )
             payload = storage_module.codec.encode(final)
-            self._queue.append(_Proposal(_Kind.MEMBERSHIP, payload))
-            await self._queued.notify()
+            await self._proposals.add(
+                proposals_module.Proposal(_Kind.MEMBERSHIP, payload)
+            )
         elif self._member.member_id not in quorum.voter_ids(membership):
             await self.become_follower(self.term, None)
 
@@ -980,61 +907,11 @@
             )
             return False
         self._machine.restore(snapshot.data)
-        log = self._storage.log
-        self._reset_memberships()
-        for index in range(header.index + 1, log.last_index + 1):
-            self._note_membership(log.entry(index))
+        self._memberships.reset(header)
+        self._note_later_memberships(header.index)
         self._applied_index = header.index
         self._commit_index = header.index
-        self._synced_index = log.last_index
-        await self._drop_waiting(header.index)
+        self._synced_index = self._storage.log.last_index
+        await self._proposals.lose(header.index)
         await self._applied.notify()
         return True
-
-    async def _drop_waiting(self, index: int) -> None:
-        for at in [at for at in self._waiting if at <= index]:
-            proposal = self._waiting.pop(at)
-            proposal.error = errors.UnknownOutcomeError(
-                f'entry {at} came with a snapshot'
-            )
-            await proposal.done.set()
-
-    # Admission of a new member.
-
-    async def receive_join(
-        self, request: ttypes.JoinRequest
-    ) -> ttypes.JoinReply:
-        """Answers a member whose storage is empty."""
-        leader = self._leader
-        if not self.ready:
-            address = leader.address if leader else ''
-            return ttypes.JoinReply(accepted=False, leader_address=address)
-        known = {m.member_id for m in quorum.all_members(self.membership)}
-        if request.member.member_id not in known:
-            try:
-                await self.add_learner(request.member)
-            except errors.ReplicationError:
-                return ttypes.JoinReply(accepted=False, leader_address='')
-        return ttypes.JoinReply(accepted=True, leader_address='')
-
-    async def _join_loop(self) -> None:
-        """Asks for admission while nothing was ever replicated here."""
-        asked = list(self._contacts)
-        while self._storage.is_empty and not self.membership.voters:
-            if not asked:
-                asked = list(self._contacts)
-                await curio.sleep(JOIN_RETRY_S)
-                continue
-            address = asked.pop(0)
-            request = ttypes.JoinRequest(member=self._member)
-            try:
-                reply = await self._transport.call(
-                    address,
-                    request,
-                    timeout_s=self._options.election_timeout_s,
-                )
-            except (rpc.TransportError, rpc.CallError):
-                continue
-            if not reply.accepted and reply.leader_address:
-                asked.insert(0, reply.leader_address)
-                await curio.sleep(JOIN_RETRY_S)
--- a/banyantrack/testing/fake_group.py
+++ b/banyantrack/testing/fake_group.py
@@ -20,6 +20,7 @@
 from banyantrack.generated.replication import ttypes
 from banyantrack.replication import api
 from banyantrack.replication import elections
+from banyantrack.replication import joining
 from banyantrack.replication import replica as replica_module
 from banyantrack.replication import storage as storage_module
 from banyantrack.testing import virtual
@@ -278,7 +279,7 @@
                 case ttypes.SnapshotRequest():
                     return await member.receive_snapshot(request)
                 case ttypes.JoinRequest():
-                    return await member.receive_join(request)
+                    return await joining.receive_join(member, request)
         except Exception as error:
             await member.fail(error)
             raise rpc.CallError(
