Split the scheduler: forecasts, feasibility of guarantees

Change: expected ends and first starts, and the check of new guarantees, have modules of their own; behaviour is as it was.

--- /dev/null
+++ b/banyantrack/placement/forecasts.py
@@ -0,0 +1,139 @@
+"""When running work is expected to end, and where a gang can start first."""
+
+from __future__ import annotations
+
+import dataclasses
+import time
+import typing
+
+from banyantrack.placement import estimates as estimates_module
+from banyantrack.placement import places
+
+if typing.TYPE_CHECKING:
+    import collections.abc
+
+    from banyantrack.generated.intent import ttypes as intent
+    from banyantrack.placement import allotments
+
+# How old the expected ends of running work may be.
+REFRESH_S = 5.0
+
+
+class Progress(typing.Protocol):
+    """What is known of running work."""
+
+    def progress_ms(self, job: str) -> int:
+        """Returns how long a job has run in all."""
+
+    def unsaved_ms(self, job: str) -> int:
+        """Returns the work of a job since its last checkpoint."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Start:
+    """Where and when a gang can start.
+
+    Attributes:
+        workers: Workers on which it can.
+        in_ms: Time until then.
+    """
+
+    workers: frozenset[int]
+    in_ms: float
+
+
+class Forecasts:
+    """Expected ends of running work.
+
+    Args:
+        ledger: Use of the fleet.
+        progress: What is known of running work.
+    """
+
+    def __init__(self, ledger: allotments.Ledger, progress: Progress) -> None:
+        self._ledger = ledger
+        self._progress = progress
+        self._estimates = estimates_module.Estimates()
+        self._now_ms = 0
+        self._until_ms: dict[int, float] = {}
+        self._refreshed_at = float('-inf')
+
+    def set_time(self, now_ms: int) -> None:
+        """Sets the time of the round."""
+        self._now_ms = now_ms
+
+    def observe(self, job: intent.Job, observed_ms: int) -> None:
+        """Learns from a job that ran to its end."""
+        self._estimates.observe(job.customer, job.run_time_ms, observed_ms)
+
+    def remaining_ms(self, job: intent.Job, progress_ms: int) -> float:
+        """Returns the expected time that a job still runs."""
+        return self._estimates.remaining_ms(
+            job.customer, job.run_time_ms, progress_ms
+        )
+
+    def outlook(self, run_ms: float) -> places.Outlook:
+        """Returns what the choice of a place looks at.
+
+        Args:
+            run_ms: How long the gang is expected to run.
+        """
+        self._refresh()
+        return places.Outlook(run_ms, self._now_ms, self._until_ms)
+
+    def note_start(
+        self, workers: collections.abc.Iterable[int], run_ms: float
+    ) -> None:
+        """Notes work that starts."""
+        until_ms = self._now_ms + run_ms
+        for worker in workers:
+            if until_ms > self._until_ms.get(worker, 0.0):
+                self._until_ms[worker] = until_ms
+
+    def soonest(self, gang: places.Gang) -> Start | None:
+        """Returns where a gang can start first, or None if nowhere."""
+        self._refresh()
+        fleet = self._ledger.fleet
+        busy_ms = {
+            worker: until_ms - self._now_ms
+            for worker, until_ms in self._until_ms.items()
+            if until_ms > self._now_ms
+        }
+        room = places.empty_room(fleet, gang)
+        starts = [
+            start
+            for group in places.domains(fleet, gang.adjacency, room)
+            if (start := _soonest(group, room, busy_ms, gang.members))
+        ]
+        return min(starts, key=lambda start: start.in_ms, default=None)
+
+    def _refresh(self) -> None:
+        now_s = time.monotonic()
+        if now_s - self._refreshed_at < REFRESH_S:
+            return
+        self._refreshed_at = now_s
+        self._until_ms = {}
+        for name, allotment in self._ledger.allotments.items():
+            job = self._ledger.job(name)
+            if job is not None:
+                progress_ms = self._progress.progress_ms(name)
+                self.note_start(
+                    allotment.workers, self.remaining_ms(job, progress_ms)
+                )
+
+
+def _soonest(
+    group: list[int],
+    room: places.Room,
+    busy_ms: dict[int, float],
+    members: int,
+) -> Start | None:
+    """Returns when enough of a group's workers are free, and which."""
+    order = sorted(group, key=lambda w: (busy_ms.get(w, 0.0), -room[w]))
+    chosen = []
+    for worker in order:
+        chosen.append(worker)
+        members -= room[worker]
+        if members <= 0:
+            return Start(frozenset(chosen), busy_ms.get(worker, 0.0))
+    return None
--- a/banyantrack/placement/scheduler.py
+++ b/banyantrack/placement/scheduler.py
@@ -9,12 +9,12 @@
 import typing
 
 from banyantrack.core import findings
-from banyantrack.core import states
 from banyantrack.generated.intent import ttypes as intent
 from banyantrack.placement import allotments
 from banyantrack.placement import attribution
 from banyantrack.placement import consolidation
-from banyantrack.placement import estimates
+from banyantrack.placement import feasibility
+from banyantrack.placement import forecasts
 from banyantrack.placement import places
 from banyantrack.placement import queues
 from banyantrack.placement import reasons
@@ -44,8 +44,6 @@
 RECLAIM_BACKOFF_MS = 2000
 # A plan to reclaim is given up after this time without its room.
 PLAN_TIMEOUT_S = 30.0
-# How old the expected ends of running work may be.
-BUSY_REFRESH_S = 5.0
 # A round ends after this time; the next one goes on where it ended.
 ROUND_LIMIT_S = 0.03
 # Time between two moves of small work.
@@ -104,21 +102,10 @@
     """A large job that others may not delay."""
 
     name: str
-    workers: frozenset[int]
-    start_in_ms: float
+    start: forecasts.Start
     made_at: float
 
 
-class Progress(typing.Protocol):
-    """What is known of running work."""
-
-    def progress_ms(self, job: str) -> int:
-        """Returns how long a job has run in all."""
-
-    def unsaved_ms(self, job: str) -> int:
-        """Returns the work of a job since its last checkpoint."""
-
-
 class Scheduler:
     """Placement decisions of the leader.
 
@@ -132,7 +119,7 @@
     def __init__(
         self,
         state: state_module.IntentState,
-        progress: Progress,
+        progress: forecasts.Progress,
         *,
         policies: Policies = Policies(),
         default_selector: str = '!down',
@@ -141,7 +128,7 @@
         self._progress = progress
         self._policies = policies
         self._ledger = allotments.Ledger(state, default_selector)
-        self._estimates = estimates.Estimates()
+        self._forecasts = forecasts.Forecasts(self._ledger, progress)
         self._attribution = attribution.Attribution()
         self._score = places.SCORES.get(policies.score)
         self._order = queues.ORDERS.get(policies.queue)
@@ -152,9 +139,6 @@
         self._deadlines_checked_ms = 0
         self._labels_checked = -1
         self._never_generation = -1
-        self._now_ms = 0
-        self._busy_until_ms: dict[int, float] = {}
-        self._busy_at = float('-inf')
         self._refused: set[tuple[object, ...]] = set()
         self._refused_at = (-1, -1)
         self._resume_at = 0
@@ -186,7 +170,7 @@
         job = self._ledger.job(name)
         allotment = self._ledger.allotments.get(name)
         if job is not None:
-            self._estimates.observe(job.customer, job.run_time_ms, observed_ms)
+            self._forecasts.observe(job, observed_ms)
         if allotment is not None:
             workers = set(allotment.workers)
             for worker in self._attribution.succeed(name, workers):
@@ -205,42 +189,7 @@
         Args:
             changed: Objects of a change that is not applied yet.
         """
-        self._ledger.sync()
-        found = []
-        for stored in changed:
-            if stored.guarantee is None or stored.deleted:
-                continue
-            guarantee = stored.guarantee
-            used = self._ledger.used_by_guarantee[stored.name]
-            asked = guarantee.count * guarantee.accelerators
-            entitlement = witness_module.Entitlement(
-                guarantee=stored.name,
-                shape=guarantee.accelerators,
-                remaining=max(asked - used, 0),
-                adjacency=states.Adjacency(guarantee.adjacency),
-                selector=guarantee.selector or '',
-            )
-            change = witness_module.Change({}, entitlement)
-            if self._ledger.witness.allows(change):
-                continue
-            fleet = self._ledger.fleet
-            eligible = fleet.eligible(entitlement.selector)
-            capacity = sum(
-                count
-                for worker, count in enumerate(fleet.accelerators)
-                if eligible[worker]
-            )
-            found.append(
-                findings.Finding(
-                    f'guarantees/{stored.name}',
-                    f'got {guarantee.count} shapes of'
-                    f' {guarantee.accelerators} accelerators on one'
-                    f' {guarantee.adjacency}; its selector matches'
-                    f' {sum(eligible)} workers with {capacity}, and no'
-                    ' choice among them leaves every guarantee its shapes',
-                )
-            )
-        return found
+        return feasibility.check_guarantees(self._ledger, changed)
 
     def decide(self, now_ms: int) -> Decisions:
         """Runs one round on the state as it is now.
@@ -250,7 +199,7 @@
         Args:
             now_ms: The time, in milliseconds since 1970.
         """
-        self._now_ms = now_ms
+        self._forecasts.set_time(now_ms)
         self._ledger.sync()
         for worker in self._attribution.expired():
             self._ledger.fleet.avoid(worker, False)
@@ -360,9 +309,7 @@
         if status.allotment != intent.AllotmentState.RUNNING:
             return False
         progress_ms = self._progress.progress_ms(name)
-        left_ms = self._estimates.remaining_ms(
-            job.customer, job.run_time_ms, progress_ms
-        )
+        left_ms = self._forecasts.remaining_ms(job, progress_ms)
         return (
             left_ms >= consolidation.SHORTEST_LEFT_MS
             and self._progress.unsaved_ms(name)
@@ -475,8 +422,8 @@
                             urgent=job.urgent,
                             entitled=covered[key],
                             waited_ms=now_ms - status.submitted_ms,
-                            remaining_ms=self._estimates.remaining_ms(
-                                customer, job.run_time_ms, status.progress_ms
+                            remaining_ms=self._forecasts.remaining_ms(
+                                job, status.progress_ms
                             ),
                             accelerators=asked,
                             share=shares[customer],
@@ -569,12 +516,17 @@
         if reservation is not None:
             return self._find_reserved(name, reservation)
         room = self._room(gang, name, job)
-        workers = self._score(fleet, gang, room, self._outlook(name, job))
+        workers = self._score(
+            fleet,
+            gang,
+            room,
+            self._forecasts.outlook(self._remaining_ms(name, job)),
+        )
         if workers is None:
             never = self._never(gang)
             text = never or reasons.no_room(fleet, gang, room)
             if not never and self._head and self._head.name != name:
-                at_s = self._head.start_in_ms / 1000
+                at_s = self._head.start.in_ms / 1000
                 if places.fits(fleet, gang, places.free_room(fleet, gang)):
                     text = reasons.behind(self._head.name, at_s)
             self._reasons[name] = text
@@ -613,17 +565,9 @@
             )
         return reservation.workers if allowed else None
 
-    def _outlook(self, name: str, job: intent.Job) -> places.Outlook:
-        self._refresh_busy()
-        return places.Outlook(
-            self._remaining_ms(name, job), self._now_ms, self._busy_until_ms
-        )
-
     def _remaining_ms(self, name: str, job: intent.Job) -> float:
         status = self._ledger.waiting[name]
-        return self._estimates.remaining_ms(
-            job.customer, job.run_time_ms, status.progress_ms
-        )
+        return self._forecasts.remaining_ms(job, status.progress_ms)
 
     def _room(
         self, gang: places.Gang, name: str, job: intent.Job
@@ -636,8 +580,8 @@
                     room.pop(worker, None)
         head = self._head
         if head is not None and head.name != name and not job.urgent:
-            if self._remaining_ms(name, job) > head.start_in_ms:
-                for worker in head.workers:
+            if self._remaining_ms(name, job) > head.start.in_ms:
+                for worker in head.start.workers:
                     room.pop(worker, None)
         return room
 
@@ -677,7 +621,10 @@
             if worker in room
         }
         workers = self._score(
-            self._ledger.fleet, gang, own, self._outlook(name, job)
+            self._ledger.fleet,
+            gang,
+            own,
+            self._forecasts.outlook(self._remaining_ms(name, job)),
         )
         if workers and self._witness_allows(gang, guarantee, workers):
             return workers
@@ -693,7 +640,7 @@
     ) -> None:
         status = self._ledger.waiting[name]
         numbers = array.array('H', workers)
-        self._note_busy(workers, self._remaining_ms(name, job))
+        self._forecasts.note_start(workers, self._remaining_ms(name, job))
         decisions.places.append(
             intent.PlaceCommand(
                 job=name,
@@ -733,56 +680,10 @@
             and now_s - head.made_at < HEAD_REFRESH_S
         ):
             return True
-        self._head = self._plan_head(name, gang, now_s)
+        start = self._forecasts.soonest(gang)
+        self._head = start and _Head(name, start, now_s)
         return self._head is not None
 
-    def _plan_head(
-        self, name: str, gang: places.Gang, now_s: float
-    ) -> _Head | None:
-        """Returns the workers on which a gang can start soonest."""
-        fleet = self._ledger.fleet
-        self._refresh_busy()
-        busy_ms = {
-            worker: until_ms - self._now_ms
-            for worker, until_ms in self._busy_until_ms.items()
-            if until_ms > self._now_ms
-        }
-        room = places.empty_room(fleet, gang)
-        best: tuple[float, list[int]] | None = None
-        for group in places.domains(fleet, gang.adjacency, room):
-            found = _soonest(group, room, busy_ms, gang.members)
-            if found and (best is None or found[0] < best[0]):
-                best = found
-        if best is None:
-            return None
-        return _Head(name, frozenset(best[1]), best[0], now_s)
-
-    def _refresh_busy(self) -> None:
-        """Works out until when each worker is expected to have work."""
-        now_s = time.monotonic()
-        if now_s - self._busy_at < BUSY_REFRESH_S:
-            return
-        self._busy_at = now_s
-        self._busy_until_ms = {}
-        for name, allotment in self._ledger.allotments.items():
-            job = self._ledger.job(name)
-            if job is None:
-                continue
-            left_ms = self._estimates.remaining_ms(
-                job.customer,
-                job.run_time_ms,
-                self._progress.progress_ms(name),
-            )
-            self._note_busy(allotment.workers, left_ms)
-
-    def _note_busy(
-        self, workers: collections.abc.Iterable[int], left_ms: float
-    ) -> None:
-        until_ms = self._now_ms + left_ms
-        for worker in workers:
-            if until_ms > self._busy_until_ms.get(worker, 0.0):
-                self._busy_until_ms[worker] = until_ms
-
     # Reclaim.
 
     def _reclaim(
@@ -876,20 +777,3 @@
                 / self._ledger.weight(allotment.customer),
                 started_ms=status.started_ms,
             )
-
-
-def _soonest(
-    group: list[int],
-    room: places.Room,
-    busy_ms: dict[int, float],
-    members: int,
-) -> tuple[float, list[int]] | None:
-    """Returns when enough of a group's workers are free, and which."""
-    order = sorted(group, key=lambda w: (busy_ms.get(w, 0.0), -room[w]))
-    chosen = []
-    for worker in order:
-        chosen.append(worker)
-        members -= room[worker]
-        if members <= 0:
-            return busy_ms.get(worker, 0.0), chosen
-    return None
