Mend planned stops and shares in a surge; margins of admission

Traced: an answer that began before the stop did not announce that its connection closes, and the connection closed all the same; requests were admitted with the usual time left, so half of those ran past the deadline; in a surge each entry set its own newest demand against what others had told earlier, so that all took too many slots.

--- a/banyantrack/core/logs.py
+++ b/banyantrack/core/logs.py
@@ -154,6 +154,11 @@
     else:
         handler = logging.StreamHandler()
     handler.setFormatter(PairFormatter())
+    # What no line shows need not be collected for each.
+    logging.logThreads = False
+    logging.logProcesses = False
+    logging.logMultiprocessing = False
+    logging._srcfile = None
     root = logging.getLogger()
     root.handlers[:] = [handler]
     root.setLevel(settings.level.upper())
--- a/banyantrack/dispatch/attempts.py
+++ b/banyantrack/dispatch/attempts.py
@@ -44,14 +44,21 @@
     Attributes:
         ran: Whether the backend may have run the request.
         timed_out: Whether time ran out.
+        run_s: Seconds since the request was sent.
     """
 
     def __init__(
-        self, message: str, ran: Ran, *, timed_out: bool = False
+        self,
+        message: str,
+        ran: Ran,
+        *,
+        timed_out: bool = False,
+        run_s: float = 0.0,
     ) -> None:
         super().__init__(message)
         self.ran = ran
         self.timed_out = timed_out
+        self.run_s = run_s
 
 
 class CallerError(errors.BanyanError):
@@ -63,13 +70,15 @@
     """The answer of a backend.
 
     Attributes:
-        head: Its head.
+        status: Its status.
+        headers: Its headers, with names in lower case.
         body: What came of the body so far.
         complete: Whether that is all.
         run_s: Seconds from the request to the head.
     """
 
-    head: h11.Response
+    status: int
+    headers: http.Headers
     body: bytes
     complete: bool
     run_s: float
@@ -137,8 +146,12 @@
         self._ran = Ran.MAYBE
         self._started_at = time.monotonic()
         try:
-            async with curio.timeout_after(left_s):
+            if self._request.body_complete:
+                # It fits into the socket's buffer, so it does not block.
                 await self._send(pooled.connection)
+            else:
+                async with curio.timeout_after(left_s):
+                    await self._send(pooled.connection)
         except curio.TaskTimeout:
             raise self._failure('sending took too long', True) from None
         except (OSError, h11.LocalProtocolError) as error:
@@ -205,7 +218,10 @@
             self._pooled.connection.shut_down()
 
     def _failure(self, message: str, timed_out: bool = False) -> AttemptError:
-        return AttemptError(message, self._ran, timed_out=timed_out)
+        run_s = time.monotonic() - self._started_at
+        return AttemptError(
+            message, self._ran, timed_out=timed_out, run_s=run_s
+        )
 
     def _head(self) -> h11.Request:
         request = self._request
@@ -268,16 +284,17 @@
             if not isinstance(head, h11.Response):
                 raise self._failure('closed before the answer')
             run_s = time.monotonic() - self._started_at
-            self._check_identity(head)
+            headers = list(head.headers)
+            self._check_identity(headers)
             body, complete = await self._read_start(connection)
         except (OSError, http.ProtocolError, http.ClosedError) as error:
             raise self._failure(f'no whole answer: {error}') from error
-        if complete and _says_not_run(head):
+        if complete and _says_not_run(head.status_code, headers):
             raise AttemptError('the backend did not run it', Ran.NOT_RUN)
-        return Answer(head, body, complete, run_s)
+        return Answer(head.status_code, headers, body, complete, run_s)
 
-    def _check_identity(self, head: h11.Response) -> None:
-        echoed = http.header(head.headers, b'banyan-request-id')
+    def _check_identity(self, headers: http.Headers) -> None:
+        echoed = http.header(headers, b'banyan-request-id')
         if echoed is not None and echoed.decode('latin-1') != (
             self._request.request_id
         ):
@@ -302,8 +319,7 @@
     return http.header(headers, b'content-length') is not None
 
 
-def _says_not_run(head: h11.Response) -> bool:
+def _says_not_run(status: int, headers: http.Headers) -> bool:
     return (
-        head.status_code == 503
-        and http.header(head.headers, b'banyan-outcome') == b'not-run'
+        status == 503 and http.header(headers, b'banyan-outcome') == b'not-run'
     )
--- a/banyantrack/dispatch/dispatcher.py
+++ b/banyantrack/dispatch/dispatcher.py
@@ -30,10 +30,13 @@
 QUICK = states.ServiceClass.QUICK
 LONG = states.ServiceClass.LONG
 DRAIN_WINDOW_S = 1.0
-DEMAND_WINDOW_S = 0.5
+# Weight of the newest look at the demand in its average.
+DEMAND_WEIGHT = 0.3
 # A route counts as long once its usual run takes this many times the usual
 # run of all quick work.
 LONG_FACTOR = 8.0
+# Share of the own slots in use up to which hedges are made.
+HEDGE_SHARE = 0.9
 # Backends with a free slot that are compared for one request.
 SAMPLE = 5
 LONGEST_RETRY_AFTER_S = 30
@@ -116,6 +119,8 @@
         self._quick_peak = 0.0
         self._quick_peak_at = time.monotonic()
         self._demand = 0.0
+        # Slots that this entry has in the division among entries.
+        self._owned = 0
         self._stopping = False
         self._chosen: targets_module.Target | None = None
 
@@ -194,11 +199,14 @@
 
     def divide(self) -> None:
         """Works out which slots this entry has; called with each gossip."""
+        # The others know this entry's demand as it was told to them. With a
+        # newer one, all entries would take too much when demand rises.
+        told = self._demand
         in_flight = self.in_flight + self.waiting
-        self._demand += 0.3 * (in_flight - self._demand)
+        self._demand += DEMAND_WEIGHT * (in_flight - self._demand)
         present = self._gossip.present if self._gossip else []
         demands = [shares.Demand(peer.name, peer.demand) for peer in present]
-        demands.append(shares.Demand(self._name, self._demand))
+        demands.append(shares.Demand(self._name, told))
         division = shares.Division(demands, self._name)
         reserve = self._reserve()
         connections = self._settings.backend_connections // len(demands)
@@ -210,6 +218,7 @@
             target.owned = min(len(owned), max(connections, 1))
             target.owned_quick_only = sum(slot >= quick_only for slot in owned)
             self._note_others(backend_id, target, present)
+        self._owned = sum(t.owned for t in self._targets.values())
 
     def _note_others(
         self,
@@ -232,7 +241,7 @@
         to long work.
         """
         reserve = self._settings.quick_reserve
-        owned = sum(target.owned for target in self._targets.values())
+        owned = self._owned
         if not owned:
             return reserve
         now_s = time.monotonic()
@@ -332,8 +341,11 @@
         request: requests_module.CallerRequest,
         besides: targets_module.Target,
     ) -> targets_module.Target | None:
-        """Takes a slot at another backend for a hedge, if one is free."""
-        if self.waiting:
+        """Takes a slot at another backend for a hedge, if many are free.
+
+        Where few are, a hedge would take the slot of a first attempt.
+        """
+        if self.waiting or self.in_flight > HEDGE_SHARE * self._owned:
             return None
         target = self._choose(request, besides=besides)
         if target is not None:
@@ -371,6 +383,12 @@
         if request.route.service_class is QUICK:
             self._quick_times.add(run_s)
 
+    def note_unfinished(
+        self, request: requests_module.CallerRequest, run_s: float
+    ) -> None:
+        """Learns that a request takes longer than some time."""
+        self.run_times(request.route).add(run_s)
+
     async def serve_queues(self) -> None:
         """Hands free slots to requests that wait."""
         self.refresh()
@@ -449,12 +467,12 @@
         One that cannot end in time is taken out of the queue without.
         """
         request = waiter.request
-        if request.left_s < self._shortest_run_s(request):
+        if request.left_s < self._usual_run_s(request):
             return True
         waiter.target = self._choose(request)
         return waiter.target is not None
 
-    def _shortest_run_s(self, request: requests_module.CallerRequest) -> float:
+    def _usual_run_s(self, request: requests_module.CallerRequest) -> float:
         return self.run_times(request.route).median_s
 
     async def _wait(
@@ -465,7 +483,7 @@
         self._admit(request, queue)
         waiter = queueing.Waiter(request)
         queue.push(waiter)
-        left_s = request.left_s - self._shortest_run_s(request)
+        left_s = request.left_s - self._usual_run_s(request)
         try:
             async with curio.ignore_after(max(left_s, 0)):
                 await waiter.event.wait()
@@ -500,7 +518,7 @@
                 self._retry_after_s(lane),
             )
         wait_s = self._expected_wait_s(lane)
-        if wait_s + self._shortest_run_s(request) > request.left_s:
+        if wait_s + self._usual_run_s(request) > request.left_s:
             raise RefusedError(
                 Cause.TOO_LATE,
                 f'the expected wait is {wait_s:.3f} s and the deadline is in'
--- a/banyantrack/dispatch/proxy.py
+++ b/banyantrack/dispatch/proxy.py
@@ -290,8 +290,8 @@
         request: requests_module.CallerRequest,
         answer: attempts.Answer,
     ) -> None:
-        content_type = http.header(answer.head.headers, b'content-type')
-        status = answer.head.status_code if answer.complete else 0
+        content_type = http.header(answer.headers, b'content-type')
+        status = answer.status if answer.complete else 0
         await self._claims.record(
             request,
             status=status,
@@ -340,6 +340,9 @@
                 maybe_ran |= error.ran is attempts.Ran.MAYBE
                 if error.ran is not attempts.Ran.NOT_RUN:
                     target.note_failure()
+                if error.timed_out:
+                    # Without it, run times would be those of the fast only.
+                    self._dispatcher.note_unfinished(request, error.run_s)
                 logs.event(
                     _LOG,
                     'attempt_failed',
@@ -478,10 +481,10 @@
         won: _Won,
     ) -> tuple[Outcome, int, str]:
         answer = won.answer
-        status = answer.head.status_code
+        status = answer.status
         headers = [
             (key, value)
-            for key, value in http.end_to_end(answer.head.headers)
+            for key, value in http.end_to_end(answer.headers)
             if key not in _RESPONSE_OWN
         ]
         headers += self._headers(request, Outcome.DONE)
--- a/banyantrack/dispatch/statistics.py
+++ b/banyantrack/dispatch/statistics.py
@@ -54,7 +54,7 @@
     STEP = 0.05
     TRUSTED_COUNT = 20
 
-    def __init__(self, quantile: float = 0.95) -> None:
+    def __init__(self, quantile: float = 0.98) -> None:
         self._mean_s = 0.0
         self._high_s = 0.0
         self._median_s = 0.0
--- a/banyantrack/tests/test_transport.py
+++ b/banyantrack/tests/test_transport.py
@@ -123,6 +123,43 @@
             pass
 
 
+class TestStop(testtools.TestCase):
+    """A stopping server closes only connections whose answer said so."""
+
+    def test_answer_that_began_before_the_stop(self) -> None:
+        async def run() -> list[int]:
+            at = address()
+            go_on = curio.Event()
+
+            async def slow(request: http_server.Request) -> None:
+                await request.read_body(100)
+                if not go_on.is_set():
+                    await request.start_response(
+                        200, [(b'content-length', b'1')]
+                    )
+                    await go_on.wait()
+                    await request.send_data(b'x')
+                    await request.end_response()
+                else:
+                    await request.respond(200, [], b'y')
+
+            server = http_server.HttpServer(at, slow)
+            await server.start()
+            client = http_client.HttpClient(at)
+            first = await curio.spawn(client.request, 'GET', '/')
+            await curio.sleep(0.1)
+            server.start_closing()
+            await go_on.set()
+            answers = [await first.join()]
+            answers.append(await client.request('GET', '/'))
+            await client.close()
+            await server.close()
+            self.assertEqual('close', answers[1].header('connection'))
+            return [answer.status for answer in answers]
+
+        self.assertEqual([200, 200], curio.run(run))
+
+
 class TestHeaders(testtools.TestCase):
     """Headers that concern one connection are not passed on."""
 
--- a/banyantrack/transport/http.py
+++ b/banyantrack/transport/http.py
@@ -187,12 +187,10 @@
 
 def end_to_end(headers: Headers) -> Headers:
     """Returns the headers that a proxy passes on."""
-    named = {
-        token.strip().lower()
-        for key, value in headers
-        if key == b'connection'
-        for token in value.split(b',')
-    }
+    named: set[bytes] = set()
+    for key, value in headers:
+        if key == b'connection':
+            named.update(token.strip().lower() for token in value.split(b','))
     return [
         (key, value)
         for key, value in headers
--- a/banyantrack/transport/http_server.py
+++ b/banyantrack/transport/http_server.py
@@ -27,13 +27,29 @@
     Args:
         connection: Where it came in.
         head: Its head.
+        stopping: Returns whether the server closes its connections.
     """
 
-    __slots__ = ('_connection', '_head', 'started', 'closing')
+    __slots__ = (
+        '_connection',
+        '_head',
+        '_headers',
+        '_stopping',
+        'started',
+        'closing',
+    )
 
-    def __init__(self, connection: http.Connection, head: h11.Request) -> None:
+    def __init__(
+        self,
+        connection: http.Connection,
+        head: h11.Request,
+        stopping: collections.abc.Callable[[], bool],
+    ) -> None:
         self._connection = connection
+        self._stopping = stopping
         self._head = head
+        # Each pass over the headers of h11 makes them anew.
+        self._headers: http.Headers = list(head.headers)
         self.started = False
         self.closing = False
 
@@ -55,7 +71,7 @@
     @property
     def headers(self) -> http.Headers:
         """Its headers, with names in lower case."""
-        return self._head.headers
+        return self._headers
 
     @property
     def has_body(self) -> bool:
@@ -118,6 +134,9 @@
         await self._connection.send(h11.EndOfMessage())
 
     def _response(self, status: int, headers: http.Headers) -> h11.Response:
+        # A connection that the answer does not close must stay open, since
+        # the caller may use it again at once.
+        self.closing = self._stopping()
         if self.closing:
             headers = [*headers, (b'connection', b'close')]
         return h11.Response(
@@ -130,10 +149,10 @@
 Handler = collections.abc.Callable[[Request], collections.abc.Awaitable[None]]
 
 
-def _check_head(head: h11.Request) -> None:
+def _check_head(request: Request) -> None:
     """Refuses a head that came in one piece and is too large."""
-    size = len(head.target) + sum(
-        len(key) + len(value) for key, value in head.headers
+    size = len(request.target) + sum(
+        len(key) + len(value) for key, value in request.headers
     )
     if size > http.HEAD_LIMIT_BYTES:
         raise http.ProtocolError(
@@ -217,15 +236,14 @@
         if not isinstance(head, h11.Request):
             return False
         connection.timeout_s = self._caller_timeout_s
-        _check_head(head)
-        request = Request(connection, head)
-        request.closing = self._stopping
+        request = Request(connection, head, lambda: self._stopping)
+        _check_head(request)
         self._active.add(connection)
         try:
             await self._handler(request)
         finally:
             self._active.discard(connection)
-        return await self._finish(connection)
+        return not request.closing and await self._finish(connection)
 
     async def _next_head(self, connection: http.Connection) -> typing.Any:
         self._idle.add(connection)
@@ -246,7 +264,7 @@
                 drained += len(event.data)
             if drained > DRAIN_LIMIT_BYTES:
                 return False
-        if state.our_state is not h11.DONE or self._stopping:
+        if state.our_state is not h11.DONE:
             return False
         if state.their_state is not h11.DONE:
             return False
