--- a/banyantrack/dispatch/dispatcher.py
+++ b/banyantrack/dispatch/dispatcher.py
@@ -35,6 +35,8 @@
 # A route counts as long once its usual run takes this many times the usual
 # run of all quick work.
 LONG_FACTOR = 8.0
+# Room for the way to the backend and back beside its run time.
+MARGIN = 1.15
 # Share of the own slots in use up to which hedges are made.
 HEDGE_SHARE = 0.9
 # Backends with a free slot that are compared for one request.
@@ -134,6 +136,11 @@
         """Slots in use by this entry."""
         return sum(self._in_flight.values())
 
+    @property
+    def owned(self) -> int:
+        """Slots that this entry has in the division among entries."""
+        return self._owned
+
     @property
     def waiting(self) -> int:
         """Requests that wait."""
--- a/banyantrack/tests/test_dispatch.py
+++ b/banyantrack/tests/test_dispatch.py
@@ -7,10 +7,16 @@
 import curio
 import testtools
 
+from banyantrack.core import documents
+from banyantrack.core import states
 from banyantrack.dispatch import budget
+from banyantrack.dispatch import dispatcher
 from banyantrack.dispatch import queueing
 from banyantrack.dispatch import requests
 from banyantrack.dispatch import statistics
+from banyantrack.generated.cluster import ttypes as cluster
+from banyantrack.membership import backends
+from banyantrack.membership import config
 from banyantrack.testing import builders
 from banyantrack.testing import virtual
 
@@ -82,6 +88,87 @@
         self.assertIsNone(queue.pop(lambda waiter: True))
 
 
+class TestLanes(testtools.TestCase):
+    """Lanes are learned, and long work leaves slots to quick work."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.config = config.Config()
+        self.config.replace(
+            1,
+            [
+                builders.route('fast', prefix='/fast'),
+                builders.route('slow', prefix='/slow'),
+            ],
+        )
+        self.table = backends.BackendTable(lapse_s=1.0)
+        self.table.announce(
+            cluster.Announcement(
+                backend_id='b',
+                incarnation=1,
+                address='127.0.0.1:1',
+                zone='a',
+                labels={},
+                slots=8,
+                state=cluster.BackendState.SERVING,
+            )
+        )
+        self.dispatcher = dispatcher.Dispatcher(
+            documents.model('settings').make('DispatchSettings'),
+            self.table,
+            self.config,
+            name='e',
+            zone='a',
+        )
+        self.dispatcher.refresh()
+
+    def _request(self, prefix: str) -> requests.CallerRequest:
+        route = self.dispatcher.routes.find(prefix)
+        return requests.CallerRequest(route, _Head(), 'r', 'c')
+
+    def test_wrong_label_is_found_out(self) -> None:
+        (target,) = self.dispatcher._targets.values()
+        for number in range(400):
+            path, run_s = ('/slow', 2.0) if number % 8 == 0 else ('/fast', 0.1)
+            self.dispatcher.note_run(self._request(path), target, run_s)
+        lanes = [
+            self.dispatcher.lane(self._request(path))
+            for path in ('/fast', '/slow')
+        ]
+        self.assertEqual(
+            [states.ServiceClass.QUICK, states.ServiceClass.LONG], lanes
+        )
+
+    def test_body_still_to_come_is_long(self) -> None:
+        made = self._request('/fast')
+        made.body_complete = False
+        self.assertIs(states.ServiceClass.LONG, self.dispatcher.lane(made))
+
+    def test_long_work_cannot_take_all_slots(self) -> None:
+        (target,) = self.dispatcher._targets.values()
+        long = states.ServiceClass.LONG
+        taken = 0
+        while target.free(long) > 0:
+            target.take(long, 1)
+            taken += 1
+        self.assertIn(taken, (6, 7))
+        self.assertGreater(target.free(states.ServiceClass.QUICK), 0)
+
+    def test_removed_route_and_label_take_effect(self) -> None:
+        labels = builders.labels('backend-labels', 'b', down='true')
+        labels.revision = 2
+        self.config.change(1, 2, [labels])
+
+        async def acquire() -> dispatcher.Cause:
+            try:
+                await self.dispatcher.acquire(self._request('/fast'))
+            except dispatcher.RefusedError as error:
+                return error.cause
+            return dispatcher.Cause.STOPPING
+
+        self.assertIs(dispatcher.Cause.NO_BACKEND, curio.run(acquire))
+
+
 class TestRoutes(testtools.TestCase):
     """The longest prefix that ends a segment wins."""
 
