Make one piece of code of what stood twice

Cause: duplicates showed start-up of stand-ins, process figures and the check of replies written twice. Conclusion: behaviour is as it was; tests green.

--- a/banyantrack/replication/peers.py
+++ b/banyantrack/replication/peers.py
@@ -156,10 +156,7 @@
         request,
         timeout_s=owner.options.election_timeout_s,
     )
-    if not await _still_leads(owner, peer, term, reply.term):
-        return False
-    if reply.term < term:
-        # Another member, or one that has not taken the term.
+    if not await _counts(owner, peer, term, reply.term):
         return False
     if reply.success:
         peer.match_index = max(peer.match_index, reply.last_index)
@@ -191,9 +188,7 @@
         request,
         timeout_s=owner.options.election_timeout_s,
     )
-    if not await _still_leads(owner, peer, term, reply.term):
-        return False
-    if reply.term < term:
+    if not await _counts(owner, peer, term, reply.term):
         return False
     peer.snapshot_offset = reply.next_offset
     if reply.installed:
@@ -209,15 +204,16 @@
     return True
 
 
-async def _still_leads(
+async def _counts(
     owner: replica.Replica, peer: PeerProgress, term: int, reply_term: int
 ) -> bool:
+    """Whether a reply is one to the leader of a term that still leads."""
     if not _leads(owner, peer, term):
         return False
     if reply_term > term:
         await owner.become_follower(reply_term, None)
-        return False
-    return True
+    # A lower term is another member's, or of one that has not taken ours.
+    return reply_term == term
 
 
 async def hand_over(owner: replica.Replica, term: int) -> None:
--- a/banyantrack/testing/demo.py
+++ b/banyantrack/testing/demo.py
@@ -166,17 +166,9 @@
         _say('3 control members, 6 entries')
         await self._system.start()
         _say(f'{BACKENDS} backends of 8 slots, {WORKERS} workers of 8')
-        ports = system_module.free_ports(BACKENDS)
-        for number, port in enumerate(ports):
-            backend = fake_backend.FakeBackend(
-                f'b{number}',
-                f'127.0.0.1:{port}',
-                self._system.entry_http,
-                zone='abc'[number % 3],
-                rng=random.Random(number),
-            )
-            await backend.start()
-            self._backends.append(backend)
+        self._backends = await fake_backend.start_many(
+            BACKENDS, self._system.entry_http
+        )
         self._workers = fake_worker.make_fleet(
             WORKERS, self._system.control_http, observer=self._observer
         )
--- a/banyantrack/testing/fake_backend.py
+++ b/banyantrack/testing/fake_backend.py
@@ -22,6 +22,7 @@
 import curio
 import h11
 
+from banyantrack.testing import system
 from banyantrack.transport import http
 from banyantrack.transport import http_client
 from banyantrack.transport import http_server
@@ -246,6 +247,29 @@
         await request.respond(200, headers, body)
 
 
+async def start_many(
+    count: int, entries: collections.abc.Sequence[str]
+) -> list[FakeBackend]:
+    """Returns backends that run, a zone each in turn.
+
+    Args:
+        count: How many.
+        entries: HTTP addresses of entries to announce to.
+    """
+    backends = []
+    for number, port in enumerate(system.free_ports(count)):
+        backend = FakeBackend(
+            f'b{number}',
+            f'127.0.0.1:{port}',
+            entries,
+            zone='abc'[number % 3],
+            rng=random.Random(number),
+        )
+        await backend.start()
+        backends.append(backend)
+    return backends
+
+
 def answer_body(check: str, received: int, size: int) -> bytes:
     """Returns the answer that belongs to a request.
 
--- a/banyantrack/testing/soak.py
+++ b/banyantrack/testing/soak.py
@@ -156,16 +156,9 @@
 
     async def _start(self) -> None:
         await self._system.start()
-        for number, port in enumerate(system_module.free_ports(BACKENDS)):
-            backend = fake_backend.FakeBackend(
-                f'b{number}',
-                f'127.0.0.1:{port}',
-                self._system.entry_http,
-                zone='abc'[number % 3],
-                rng=random.Random(number),
-            )
-            await backend.start()
-            self._backends.append(backend)
+        self._backends = await fake_backend.start_many(
+            BACKENDS, self._system.entry_http
+        )
         self._workers = fake_worker.make_fleet(
             WORKERS, self._system.control_http, observer=self._observer
         )
--- a/banyantrack/testing/system.py
+++ b/banyantrack/testing/system.py
@@ -38,6 +38,21 @@
     return ports
 
 
+def cpu_s(pid: int) -> float:
+    """Returns the processor time that a process has used."""
+    fields = pathlib.Path(f'/proc/{pid}/stat').read_text().split()
+    ticks = int(fields[13]) + int(fields[14])
+    return ticks / os.sysconf('SC_CLK_TCK')
+
+
+def loopback_bytes() -> int:
+    """Returns the bytes that this machine has received on loopback."""
+    for line in pathlib.Path('/proc/net/dev').read_text().splitlines():
+        if line.strip().startswith('lo:'):
+            return int(line.split()[1])
+    return 0
+
+
 class Process:
     """One daemon as a process of its own.
 
@@ -139,9 +154,7 @@
 
     def cpu_s(self) -> float:
         """Returns the processor time that it has used."""
-        fields = pathlib.Path(f'/proc/{self.pid}/stat').read_text().split()
-        ticks = int(fields[13]) + int(fields[14])
-        return ticks / os.sysconf('SC_CLK_TCK')
+        return cpu_s(self.pid)
 
     def rss_mb(self) -> float:
         """Returns its resident memory."""
--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -164,24 +164,17 @@
     seconds = 3.0
     reports = sum(worker.reports for worker in fleet)
     used = leader.cpu_s()
-    sent = _loopback_bytes()
+    sent = system_module.loopback_bytes()
     await curio.sleep(seconds)
     reports = sum(worker.reports for worker in fleet) - reports
     used = leader.cpu_s() - used
-    sent = _loopback_bytes() - sent
+    sent = system_module.loopback_bytes() - sent
     rss = leader.rss_mb() * 1024
     for task in tasks:
         await task.cancel()
     return reports / seconds, used / seconds * 1000, sent / seconds, rss
 
 
-def _loopback_bytes() -> int:
-    for line in pathlib.Path('/proc/net/dev').read_text().splitlines():
-        if line.strip().startswith('lo:'):
-            return int(line.split()[1])
-    return 0
-
-
 def measure_changes() -> dict[str, typing.Any]:
     """Measures follower and leader time and bytes by change."""
     return curio.run(_measure_changes)
@@ -200,7 +193,7 @@
             for rate in (5, 15, 30):
                 watched = (leader, follower, system.entries[0])
                 used = [p.cpu_s() for p in watched]
-                sent = _loopback_bytes()
+                sent = system_module.loopback_bytes()
                 seconds = await _change_load(system, rate)
                 used = [
                     (p.cpu_s() - u) / seconds * 1000
@@ -209,7 +202,7 @@
                 leader_cpu.append((rate, used[0]))
                 follower_cpu.append((rate, used[1]))
                 entry_cpu.append((rate, used[2]))
-                sent = (_loopback_bytes() - sent) / seconds
+                sent = (system_module.loopback_bytes() - sent) / seconds
                 entry_bytes.append((rate, sent / len(system.processes)))
         finally:
             system.stop()
--- a/benchmarks/dispatch.py
+++ b/benchmarks/dispatch.py
@@ -272,11 +272,13 @@
             await load.drive(
                 client, [stream], seconds=0.4, rng=random.Random(1)
             )
-            before_s = _cpu_s(pid)
+            before_s = system_module.cpu_s(pid)
             results = await load.drive(
                 client, [stream], seconds=1.6, rng=random.Random(2)
             )
-            used[name] = (_cpu_s(pid) - before_s) * 1e6 / len(results)
+            used[name] = (
+                (system_module.cpu_s(pid) - before_s) * 1e6 / len(results)
+            )
             await client.close()
         self.figures['cpu_us_entry_tiny'] = round(used['entry'])
         self.figures['cpu_us_bare_tiny'] = round(used['bare'])
@@ -348,12 +350,6 @@
     return result.verdict is load.Verdict.LOST
 
 
-def _cpu_s(pid: int) -> float:
-    fields = pathlib.Path(f'/proc/{pid}/stat').read_text().split()
-    ticks = int(fields[13]) + int(fields[14])
-    return ticks / os.sysconf('SC_CLK_TCK')
-
-
 def _good(results: collections.abc.Iterable[load.Result]) -> int:
     return load.count(results)[load.Verdict.GOOD]
 
--- a/benchmarks/replication.py
+++ b/benchmarks/replication.py
@@ -325,9 +325,9 @@
     seconds = 4.0
     leader = await system.leader()
     before = {p.name: p.cpu_s() for p in system.processes}
-    sent = _loopback_bytes()
+    sent = system_module.loopback_bytes()
     await curio.sleep(seconds)
-    total_bytes = _loopback_bytes() - sent
+    total_bytes = system_module.loopback_bytes() - sent
     busy = {
         p.name: (p.cpu_s() - before[p.name]) / seconds * 100
         for p in system.processes
@@ -346,13 +346,6 @@
     }
 
 
-def _loopback_bytes() -> int:
-    for line in pathlib.Path('/proc/net/dev').read_text().splitlines():
-        if line.strip().startswith('lo:'):
-            return int(line.split()[1])
-    return 0
-
-
 def main() -> None:
     """Prints the figures."""
     parser = argparse.ArgumentParser(description=__doc__)
