Number log segments in the order they were written; bound reads

A segment was named by its first index; after entries were replaced a new segment could take the name of an earlier one, truncate it, and be loaded or dropped in its place: a member refused to start with a bad record, and agreed entries could have been lost with it. A read that waited for entries to be applied had no time limit. Ruled out: torn tails (the record before it was whole) and the fake disk. Change: segments have a running number; reads end at their deadline.

--- a/banyantrack/replication/replica.py
+++ b/banyantrack/replication/replica.py
@@ -322,8 +322,9 @@
                 if time.monotonic() >= deadline:
                     raise self.not_leader()
         index = self._commit_index
-        while self._applied_index < index:
-            await self._applied.wait()
+        left_s = deadline - time.monotonic()
+        if not await self.wait_applied(index, timeout_s=left_s):
+            raise self.not_leader()
         return index
 
     async def wait_applied(self, index: int, *, timeout_s: float) -> bool:
--- a/banyantrack/replication/wal.py
+++ b/banyantrack/replication/wal.py
@@ -22,9 +22,19 @@
 _SEGMENT_GLOB = 'log-*.wal'
 
 
-def segment_path(folder: pathlib.Path, first_index: int) -> pathlib.Path:
-    """Returns the path of the segment that starts with an index."""
-    return folder / f'log-{first_index:020d}.wal'
+def segment_path(folder: pathlib.Path, number: int) -> pathlib.Path:
+    """Returns the path of a segment.
+
+    Segments are numbered in the order in which they were written. Their
+    first index would not do: after entries were replaced, a later segment
+    may start with the index of an earlier one.
+    """
+    return folder / f'log-{number:020d}.wal'
+
+
+def segment_number(path: pathlib.Path) -> int:
+    """Returns the number of a segment."""
+    return int(path.stem.removeprefix('log-'))
 
 
 def segment_paths(folder: pathlib.Path) -> list[pathlib.Path]:
@@ -98,6 +108,7 @@
         self._start_term = start_term
         self._entries: list[ttypes.LogEntry] = []
         self._segments: list[_Segment] = []
+        self._next_number = 1
         self._descriptor = -1
         self._load()
 
@@ -258,7 +269,8 @@
         return self._segments[-1]
 
     def _open_segment(self, first_index: int) -> None:
-        path = segment_path(self._folder, first_index)
+        path = segment_path(self._folder, self._next_number)
+        self._next_number += 1
         segment = _Segment(path, first_index)
         self._close_descriptor()
         try:
@@ -296,17 +308,20 @@
             self.sync()
 
     def _load_segment(self, path: pathlib.Path, *, last: bool) -> None:
-        first_index = int(path.stem.removeprefix('log-'))
-        if not self._segments and first_index <= self._start_index:
-            # Entries before the snapshot are kept for slow followers.
-            self._start_index = first_index - 1
-            self._start_term = 0
-        segment = _Segment(path, first_index)
+        self._next_number = segment_number(path) + 1
+        segment = _Segment(path, 0)
         for entries, end in read_segment(path, last=last):
+            first_index = entries[0].index
+            if not self._entries and first_index <= self._start_index:
+                # Entries before the snapshot are kept for slow followers.
+                self._start_index = first_index - 1
+                self._start_term = 0
+            segment.first_index = segment.first_index or first_index
             self._load_batch(path, entries, end)
             segment.size = end
         if path.stat().st_size < files.FILE_HEAD_BYTES:
             path.write_bytes(files.file_head(SEGMENT_KIND))
+        segment.first_index = segment.first_index or self.last_index + 1
         self._segments.append(segment)
 
     def _load_batch(
--- a/banyantrack/tests/test_wal.py
+++ b/banyantrack/tests/test_wal.py
@@ -78,6 +78,25 @@
         self.assertEqual(3, log.last_index)
         self.assertEqual(2, log.last_term)
 
+    def test_segment_that_starts_where_an_earlier_one_did(self) -> None:
+        log = self.fill(range(1, 4))
+        log.rotate()
+        log.append([builders.log_entry(i) for i in range(4, 8)])
+        log.rotate()
+        log.append([builders.log_entry(i) for i in range(8, 10)])
+        log.truncate_from(4)
+        log.rotate()
+        log.append([builders.log_entry(4, term=2)])
+        log.sync()
+        log.close()
+        log = self.open()
+        self.assertEqual((4, 2), (log.last_index, log.last_term))
+        log.compact(4)
+        log.close()
+        log = wal.WriteAheadLog(self.folder, 4, 2)
+        self.addCleanup(log.close)
+        self.assertEqual((4, 2), (log.last_index, log.last_term))
+
     def test_compaction_drops_whole_segments(self) -> None:
         log = self.fill(range(1, 4))
         log.rotate()
