--- a/banyantrack/replication/wal.py
+++ b/banyantrack/replication/wal.py
@@ -272,6 +272,9 @@
         path = segment_path(self._folder, self._next_number)
         self._next_number += 1
         segment = _Segment(path, first_index)
+        if self._descriptor >= 0:
+            # Only the last segment may be torn by a crash.
+            self._sync(self._descriptor)
         self._close_descriptor()
         try:
             self._descriptor = os.open(
--- a/banyantrack/tests/test_wal.py
+++ b/banyantrack/tests/test_wal.py
@@ -78,6 +78,17 @@
         self.assertEqual(3, log.last_index)
         self.assertEqual(2, log.last_term)
 
+    def test_segment_is_synced_before_the_next_one(self) -> None:
+        synced = []
+        log = wal.WriteAheadLog(
+            self.folder, 0, 0, sync=lambda d: synced.append(os.fstat(d))
+        )
+        self.addCleanup(log.close)
+        log.append([builders.log_entry(1)])
+        size = self.segment().stat().st_size
+        log.rotate()
+        self.assertIn(size, [state.st_size for state in synced])
+
     def test_segment_that_starts_where_an_earlier_one_did(self) -> None:
         log = self.fill(range(1, 4))
         log.rotate()
