A learner that no leader knows asks for admission again

Change: a member that is a learner by its own log and hears no leader for four election timeouts asks again. A removed voter does not.

--- a/banyantrack/replication/joining.py
+++ b/banyantrack/replication/joining.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import time
 import typing
 
 import curio
@@ -17,20 +18,22 @@
     from banyantrack.replication import replica
 
 JOIN_RETRY_S = 0.3
+# Election timeouts without a leader after which a learner asks again.
+SILENT_TIMEOUTS = 4
 
 
 async def ask_for_admission(
     owner: replica.Replica, contacts: collections.abc.Sequence[str]
 ) -> None:
-    """Asks while nothing was ever replicated to a member.
+    """Asks whenever a member needs it; until cancelled.
 
     Args:
         owner: The member.
         contacts: RPC addresses of members that may know the leader.
     """
     asked = list(contacts)
-    while owner.storage.is_empty and not owner.membership.voters:
-        if not asked:
+    while True:
+        if not asked or not _needs_admission(owner):
             asked = list(contacts)
             await curio.sleep(JOIN_RETRY_S)
             continue
@@ -40,6 +43,22 @@
             await curio.sleep(JOIN_RETRY_S)
 
 
+def _needs_admission(owner: replica.Replica) -> bool:
+    """Whether no leader sends to a member that should be a learner.
+
+    The entry that made it a learner may have been replaced by another
+    leader, which then knows nothing of it. A member that was a voter and
+    was removed does not ask again.
+    """
+    if owner.storage.is_empty and not owner.membership.voters:
+        return True
+    own_id = owner.member.member_id
+    learners = {member.member_id for member in owner.membership.learners}
+    silent_s = time.monotonic() - owner.heard_at
+    limit_s = SILENT_TIMEOUTS * owner.options.election_timeout_s
+    return own_id in learners and silent_s > limit_s
+
+
 async def _ask(
     owner: replica.Replica, address: str
 ) -> ttypes.JoinReply | None:
--- a/banyantrack/tests/test_replication_random.py
+++ b/banyantrack/tests/test_replication_random.py
@@ -51,6 +51,12 @@
         for seed in range(1001, 1007):
             replication_run.run_seed(seed, size=5)
 
+    def test_seeds_that_failed_once(self) -> None:
+        # 526 and 1589: segments of the log. 1670: a learner that a new
+        # leader did not know.
+        for seed, size in ((526, 3), (1589, 3), (1670, 5)):
+            replication_run.run_seed(seed, size=size)
+
     @hypothesis.settings(
         derandomize=True,
         deadline=None,
