Remove code that nothing calls any more

Cause: a last read of the change found a wrapper around one constructor, a property, a function and a method without callers, and an unused switch of the fake disk. Conclusion: behaviour is as it was; the tests of these parts are green.

--- a/banyantrack/dispatch/attempts.py
+++ b/banyantrack/dispatch/attempts.py
@@ -114,11 +114,6 @@
         """The backend."""
         return self._target
 
-    @property
-    def answers_early(self) -> bool:
-        """Whether the connection was used before and may be silent."""
-        return self._pooled is not None and not self._pooled.fresh
-
     async def send(self, *, fresh: bool = False) -> None:
         """Sends the request.
 
--- a/banyantrack/dispatch/proxy.py
+++ b/banyantrack/dispatch/proxy.py
@@ -389,18 +389,15 @@
             await attempt.send()
             hedge_s = self._hedge_after_s(request)
             if hedge_s is None:
-                return self._won(attempt, await attempt.receive())
+                return _Won(attempt, await attempt.receive())
             try:
                 answer = await attempt.receive(timeout_s=hedge_s)
             except curio.TaskTimeout:
                 return await self._hedge(request, incoming, open_attempts)
-            return self._won(attempt, answer)
+            return _Won(attempt, answer)
         finally:
             del self._in_flight[request]
 
-    def _won(self, attempt: attempts.Attempt, answer: attempts.Answer) -> _Won:
-        return _Won(attempt, answer)
-
     def _hedge_after_s(
         self, request: requests_module.CallerRequest
     ) -> float | None:
@@ -425,7 +422,7 @@
         if self._budget.available:
             target = self._dispatcher.try_acquire(request, first.target)
         if target is None:
-            return self._won(first, await first.receive())
+            return _Won(first, await first.receive())
         self._budget.take()
         self._metrics.counter('banyan_hedges').add()
         second = attempts.Attempt(request, incoming, target, self._pool)
@@ -443,7 +440,7 @@
             for _ in tasks:
                 attempt, result = await results.get()
                 if isinstance(result, attempts.Answer):
-                    won = self._won(attempt, result)
+                    won = _Won(attempt, result)
                     return won
                 failure = _worse(failure, result)
             raise failure
--- a/banyantrack/dispatch/queueing.py
+++ b/banyantrack/dispatch/queueing.py
@@ -5,7 +5,6 @@
 import collections
 import heapq
 import itertools
-import time
 import typing
 
 import curio
@@ -130,8 +129,3 @@
                     if name in self._heaps
                 },
             )
-
-
-def expired(waiter: Waiter) -> bool:
-    """Whether the deadline of a waiting request has passed."""
-    return waiter.request.deadline <= time.monotonic()
--- a/banyantrack/placement/gangs.py
+++ b/banyantrack/placement/gangs.py
@@ -281,11 +281,6 @@
                 return True
         return False
 
-    def retry_events(self) -> None:
-        """Lets events be returned again whose proposal failed."""
-        for gang in self._gangs.values():
-            gang.pending = 0
-
     # Reports.
 
     def _note(
--- a/banyantrack/testing/fake_group.py
+++ b/banyantrack/testing/fake_group.py
@@ -167,7 +167,6 @@
         self._synced: dict[int, int] = {}
         self._handlers: set[curio.Task] = set()
         self.slow_disk = False
-        self.full_disk = False
         self.machine: api.StateMachine | None = None
         network.attach(self.address, self)
 
