--- a/banyantrack/cli/control.py
+++ b/banyantrack/cli/control.py
@@ -81,7 +81,9 @@
     if options.check:
         return Exit.DONE
     logs.configure(settings.logging)
-    return daemon.run(lambda: control.ControlDaemon(settings))
+    return daemon.run(
+        lambda: control.ControlDaemon(settings, path=options.config)
+    )
 
 
 def _bootstrap(options: argparse.Namespace) -> int:
--- a/banyantrack/cli/daemon.py
+++ b/banyantrack/cli/daemon.py
@@ -104,7 +104,7 @@
 
 
 async def _watch_signals(stop: curio.Event) -> None:
-    """Sets an event at the first signal; further ones change nothing."""
+    """Sets an event at the first signal to stop; others change nothing."""
     receiver, sender = socket.socketpair()
     receiver.setblocking(False)
     sender.setblocking(False)
@@ -113,8 +113,12 @@
         with contextlib.suppress(BlockingIOError):
             sender.send(bytes((number,)))
 
-    for number in (signal.SIGTERM, signal.SIGINT):
+    for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
         signal.signal(number, notify)
     async with io.Socket(receiver) as waiting:
-        while await waiting.recv(1):
-            await stop.set()
+        while received := await waiting.recv(1):
+            if received[0] == signal.SIGHUP:
+                # Parts that follow the settings file look at it anyway.
+                logs.event(_LOG, 'reload_requested')
+            else:
+                await stop.set()
--- a/banyantrack/cli/entry.py
+++ b/banyantrack/cli/entry.py
@@ -10,6 +10,7 @@
 from banyantrack.core import settings as settings_module
 from banyantrack.core import states
 from banyantrack.daemons import entry
+from banyantrack.daemons import entry_platform
 
 
 def main(arguments: list[str] | None = None) -> int:
@@ -33,6 +34,12 @@
     if options.check:
         return states.ExitCode.DONE
     logs.configure(settings.logging)
+    if settings.platform is not None:
+        return daemon.run(
+            lambda: entry_platform.PlatformEntryDaemon(
+                settings, path=options.config
+            )
+        )
     return daemon.run(lambda: entry.EntryDaemon(settings))
 
 
--- a/banyantrack/core/documents.py
+++ b/banyantrack/core/documents.py
@@ -113,6 +113,7 @@
         'high',
         'choices',
         'form',
+        'absent_none',
     )
 
     def __init__(self, raw: dict) -> None:
@@ -127,6 +128,8 @@
         self.high = self._scalar(raw.get('max'))
         self.choices = tuple(filter(None, raw.get('choices', '').split(',')))
         self.form: str = raw.get('form', '')
+        # Whether a struct that is left out is None, not one of defaults.
+        self.absent_none: bool = raw.get('absent') == 'none'
 
     def _scalar(self, text: str | None) -> object:
         if text is None:
@@ -166,7 +169,9 @@
         for field in self._structs[struct]:
             if field.name in values:
                 continue
-            if field.type == 'struct' and not field.required:
+            if field.absent_none:
+                values[field.name] = None
+            elif field.type == 'struct' and not field.required:
                 values[field.name] = self.make(field.struct)
             elif field.type == 'list':
                 values[field.name] = []
--- a/banyantrack/core/settings.py
+++ b/banyantrack/core/settings.py
@@ -75,6 +75,8 @@
 def _check_control(
     source: str, settings: ttypes.ControlSettings, found: findings.Findings
 ) -> None:
+    if not settings.members and settings.platform is None:
+        found.add(source, 'got no members; valid is at least one')
     names = [member.name for member in settings.members]
     addresses = [member.address for member in settings.members]
     _check_unique(source, 'member name', names, found)
@@ -105,6 +107,8 @@
 ) -> None:
     if settings.rpc_address == settings.http_address:
         found.add(source, 'rpc_address and http_address must differ')
+    if not settings.control and settings.platform is None:
+        found.add(source, 'got no control address; valid is at least one')
     _check_unique(source, 'control address', settings.control, found)
     _check_tokens(source, settings, found)
 
--- a/banyantrack/daemons/control.py
+++ b/banyantrack/daemons/control.py
@@ -13,6 +13,8 @@
 from banyantrack.core import findings
 from banyantrack.core import logs
 from banyantrack.core import metrics as metrics_module
+from banyantrack.core import settings as settings_module
+from banyantrack.daemons import control_platform
 from banyantrack.daemons import leadership
 from banyantrack.daemons import operator_api
 from banyantrack.daemons import rollout as rollout_module
@@ -20,11 +22,13 @@
 from banyantrack.generated.cluster import ttypes as cluster
 from banyantrack.generated.replication import ttypes as replication
 from banyantrack.intent import state as state_module
+from banyantrack.membership import locator as locator_module
 from banyantrack.replication import api as replication_api
 from banyantrack.replication import errors as replication_errors
 from banyantrack.replication import group
 from banyantrack.replication import replica as replica_module
 from banyantrack.replication import storage as storage_module
+from banyantrack.transport import addresses
 from banyantrack.transport import http
 from banyantrack.transport import http_server
 from banyantrack.transport import problems
@@ -53,6 +57,11 @@
         append_bytes=chosen.append_bytes,
         group_commit=chosen.group_commit,
         auto_admit=frozenset(m.name for m in settings.members),
+        target_voters=(
+            2 * settings.platform.tolerated_losses + 1
+            if settings.platform is not None
+            else 0
+        ),
     )
 
 
@@ -61,13 +70,19 @@
 
     Args:
         settings: Checked settings.
+        path: The settings file, which may name other seeds later.
 
     Raises:
         StorageError: If the data folder cannot be used.
         OSError: If an address cannot be bound.
     """
 
-    def __init__(self, settings: settings_types.ControlSettings) -> None:
+    def __init__(
+        self,
+        settings: settings_types.ControlSettings,
+        *,
+        path: pathlib.Path | None = None,
+    ) -> None:
         self._settings = settings
         self._metrics = metrics_module.Metrics()
         self._auth = auth.Authenticator(settings.tokens)
@@ -76,6 +91,7 @@
             pathlib.Path(settings.data_folder), settings.name
         )
         self._pool = rpc.RpcPool()
+        self._locator = self._make_locator(path)
         self._replica = replica_module.Replica(
             replication.Member(
                 member_id='',
@@ -87,7 +103,7 @@
             self._state,
             self._pool,
             options=replication_options(settings),
-            contacts=[member.address for member in settings.members],
+            contacts=self._locator,
         )
         self._lead = leadership.Leadership(
             self._replica, self._state, settings.placement, self._metrics
@@ -97,8 +113,41 @@
         self._operators = operator_api.OperatorApi(
             self._replica, self._state, self._lead, self._rollout
         )
+        self._platform: control_platform.ControlPlatform | None = None
+        if settings.platform is not None:
+            self._platform = control_platform.ControlPlatform(
+                settings,
+                self._replica,
+                self._state.work,
+                self._lead.propose,
+                self._pool,
+                self._metrics,
+            )
         self._add_gauges()
 
+    def _make_locator(
+        self, path: pathlib.Path | None
+    ) -> locator_module.Locator:
+        settings = self._settings
+        seeds = [member.address for member in settings.members]
+        port = addresses.parse(settings.rpc_address).port
+        if settings.platform is not None:
+            seeds += locator_module.rpc_addresses(
+                settings.platform.seeds, port
+            )
+        follows = settings.platform is not None
+        return locator_module.Locator(
+            seeds,
+            self._pool,
+            reload=locator_module.reader(
+                path if follows else None,
+                settings_module.load_control,
+                port,
+                seeds,
+            ),
+            sender=settings.name,
+        )
+
     @property
     def replica(self) -> replica_module.Replica:
         """The member of the replication group."""
@@ -127,6 +176,8 @@
         server = http_server.HttpServer(
             self._settings.http_address, self._serve
         )
+        if self._platform is not None:
+            self._platform.register(rpc_server)
         await rpc_server.start()
         await server.start()
         logs.event(
@@ -140,11 +191,17 @@
         async with curio.TaskGroup(wait=any) as tasks:
             replica_task = await tasks.spawn(self._replica.run)
             lead_task = await tasks.spawn(self._lead.run)
+            background = [replica_task, lead_task]
+            if self._platform is not None:
+                background.append(await tasks.spawn(self._platform.run))
+                background.append(await tasks.spawn(self._locator.run))
             await tasks.spawn(self._wait_stop, stop, server)
-        for task in (replica_task, lead_task):
+        for task in background:
             if isinstance(task.exception, Exception):
                 raise task.exception
         await server.close()
+        if self._platform is not None:
+            await self._platform.close()
         await rpc_server.close()
         await self._pool.close()
         self._storage.close()
@@ -158,6 +215,8 @@
         handed = await self._replica.hand_over(timeout_s=HAND_OVER_TIMEOUT_S)
         logs.event(_LOG, 'leadership_handed_over', done=handed)
         await server.stop_accepting()
+        if self._platform is not None:
+            await self._platform.stop()
         async with curio.ignore_after(STOP_GRACE_S):
             while server.active:
                 await curio.sleep(0.02)
--- /dev/null
+++ b/banyantrack/daemons/control_platform.py
@@ -0,0 +1,146 @@
+"""A control member's part on the platform: forming a group, workers, jobs."""
+
+from __future__ import annotations
+
+import logging
+import typing
+
+import curio
+
+from banyantrack.core import clock
+from banyantrack.core import logs
+from banyantrack.daemons import work_api
+from banyantrack.daemons import work_leadership
+from banyantrack.generated.workload import ttypes
+from banyantrack.membership import locator
+from banyantrack.platform import control_server
+from banyantrack.platform import workers
+from banyantrack.transport import addresses
+from banyantrack.transport import rpc
+
+if typing.TYPE_CHECKING:
+    import collections.abc
+
+    from banyantrack.core import metrics as metrics_module
+    from banyantrack.generated.intent import ttypes as intent
+    from banyantrack.generated.settings import ttypes as settings_types
+    from banyantrack.replication import replica as replica_module
+    from banyantrack.workload import state as state_module
+
+FORM_RETRY_S = 0.2
+FORM_TIMEOUT_S = 0.5
+# After this long, most of the seeds are enough to form a group.
+FORM_PATIENCE_S = 5.0
+_LOG = logging.getLogger(__name__)
+
+
+class ControlPlatform:
+    """Serves the platform at one control member.
+
+    Args:
+        settings: Checked settings with a `platform` part.
+        replica: The member.
+        state: The replicated state of jobs.
+        propose: Proposes a command of the intent state.
+        pool: Connections to other members.
+        metrics: Metrics of the process.
+    """
+
+    def __init__(
+        self,
+        settings: settings_types.ControlSettings,
+        replica: replica_module.Replica,
+        state: state_module.WorkState,
+        propose: collections.abc.Callable[
+            [intent.Command], collections.abc.Awaitable[typing.Any]
+        ],
+        pool: rpc.RpcPool,
+        metrics: metrics_module.Metrics,
+    ) -> None:
+        self._settings = settings
+        self._replica = replica
+        self._pool = pool
+        options = settings.platform
+        self._lead = work_leadership.WorkLeadership(
+            replica,
+            state,
+            workers.HttpPorts(options),
+            options,
+            propose,
+            metrics,
+        )
+        self._api = work_api.WorkApi(replica, state, self._lead, pool)
+        self._server = control_server.ControlServer(
+            options.address, self._api, metrics
+        )
+
+    def register(self, server: rpc.RpcServer) -> None:
+        """Makes an RPC server answer entries and other members."""
+        server.handle(ttypes.JobCall, self._api.job_call, concurrent=True)
+        server.handle(
+            ttypes.ReportRequest, self._api.receive_report, concurrent=True
+        )
+        server.handle(
+            ttypes.MembersRequest, self._api.members, concurrent=True
+        )
+
+    async def run(self) -> None:
+        """Serves until cancelled."""
+        await self._server.start()
+        async with curio.TaskGroup(wait=any) as tasks:
+            leading = await tasks.spawn(self._lead.run)
+            if self._settings.platform.first_start:
+                await self._form_group()
+        if isinstance(leading.exception, Exception):
+            raise leading.exception
+
+    async def stop(self) -> None:
+        """Accepts no more calls; those in progress go on."""
+        await self._server.stop_accepting()
+
+    async def close(self) -> None:
+        """Ends all connections."""
+        await self._server.close()
+
+    async def _form_group(self) -> None:
+        """Makes this member the first voter, if that is its part.
+
+        The seed that sorts first does so, once the others have said that
+        their storage is empty, too. Everyone else asks to be admitted.
+        """
+        settings = self._settings
+        port = addresses.parse(settings.rpc_address).port
+        seeds = locator.rpc_addresses(settings.platform.seeds, port)
+        if not seeds or settings.rpc_address != min(seeds):
+            return
+        others = [seed for seed in seeds if seed != settings.rpc_address]
+        started_s = clock.steady_s()
+        empty: set[str] = set()
+        while self._replica.storage.is_empty:
+            for seed in others:
+                reply = await self._ask(seed)
+                if reply is None:
+                    continue
+                if not reply.empty:
+                    logs.event(_LOG, 'group_exists', seed=seed)
+                    return
+                empty.add(seed)
+            waited_s = clock.steady_s() - started_s
+            most = 2 * (len(empty) + 1) > len(seeds)
+            if len(empty) == len(others) or (
+                most and waited_s > FORM_PATIENCE_S
+            ):
+                await self._replica.bootstrap()
+                logs.event(_LOG, 'group_formed', seeds=','.join(seeds))
+                return
+            await curio.sleep(FORM_RETRY_S)
+
+    async def _ask(self, seed: str) -> ttypes.MembersReply | None:
+        try:
+            return await self._pool.call(
+                seed,
+                ttypes.MembersRequest(sender=self._settings.name),
+                timeout_s=FORM_TIMEOUT_S,
+            )
+        except (rpc.TransportError, rpc.CallError):
+            return None
--- /dev/null
+++ b/banyantrack/daemons/entry_platform.py
@@ -0,0 +1,114 @@
+"""An entry that takes jobs in the platform's form."""
+
+from __future__ import annotations
+
+import logging
+import pathlib
+import typing
+
+import curio
+
+from banyantrack.core import logs
+from banyantrack.core import metrics as metrics_module
+from banyantrack.core import settings as settings_module
+from banyantrack.daemons import job_gateway
+from banyantrack.membership import locator as locator_module
+from banyantrack.platform import entry_server
+from banyantrack.transport import rpc
+
+if typing.TYPE_CHECKING:
+    from banyantrack.generated.settings import ttypes as settings_types
+
+# After a stop was asked for, callers are still taken for this long: the
+# platform leaves an entry out after two probes, a second apart.
+LINGER_S = 2.5
+STOP_CHECK_S = 0.02
+_LOG = logging.getLogger(__name__)
+
+
+class PlatformEntryDaemon:
+    """One entry on the platform.
+
+    Args:
+        settings: Checked settings with a `platform` part.
+        path: The settings file, which may name other seeds later.
+
+    Raises:
+        OSError: If an address cannot be bound.
+    """
+
+    def __init__(
+        self,
+        settings: settings_types.EntrySettings,
+        *,
+        path: pathlib.Path | None = None,
+    ) -> None:
+        self._settings = settings
+        options = settings.platform
+        self._metrics = metrics_module.Metrics()
+        self._pool = rpc.RpcPool()
+        seeds = locator_module.rpc_addresses(
+            options.seeds, options.control_rpc_port
+        )
+        seeds += settings.control
+        self._locator = locator_module.Locator(
+            seeds,
+            self._pool,
+            reload=locator_module.reader(
+                path,
+                settings_module.load_entry,
+                options.control_rpc_port,
+                seeds,
+            ),
+            sender=settings.name,
+        )
+        self._gateway = job_gateway.JobGateway(
+            self._locator, self._pool, self._metrics, name=settings.name
+        )
+        self._server = entry_server.EntryServer(
+            options.address,
+            options.readiness_address,
+            self._gateway,
+            self._metrics,
+        )
+
+    async def run(self, stop: curio.Event) -> None:
+        """Serves until a stop is asked for."""
+        await self._server.start()
+        logs.event(
+            _LOG,
+            'started',
+            name=self._settings.name,
+            address=self._settings.platform.address,
+        )
+        async with curio.TaskGroup(wait=any) as tasks:
+            background = [
+                await tasks.spawn(work)
+                for work in (self._locator.run, self._gateway.run)
+            ]
+            await tasks.spawn(self._wait_stop, stop)
+        for task in background:
+            if isinstance(task.exception, Exception):
+                raise task.exception
+        await self._server.close()
+        await self._pool.close()
+        logs.event(_LOG, 'stopped', name=self._settings.name)
+
+    async def _wait_stop(self, stop: curio.Event) -> None:
+        await stop.wait()
+        logs.event(_LOG, 'stopping', name=self._settings.name)
+        self._gateway.stop()
+        await curio.sleep(LINGER_S)
+        self._server.start_closing()
+        await self._server.stop_accepting()
+        grace_s = self._settings.platform.stop_grace_ms / 1000 - LINGER_S
+        async with curio.ignore_after(max(grace_s, 0)):
+            while self._server.active:
+                await curio.sleep(STOP_CHECK_S)
+        if self._server.active:
+            logs.event(
+                _LOG,
+                'stop_cut',
+                level=logging.WARNING,
+                requests=self._server.active,
+            )
--- /dev/null
+++ b/banyantrack/daemons/work_leadership.py
@@ -0,0 +1,682 @@
+"""What the leader does for jobs of tasks: plans, orders, holds workers."""
+
+from __future__ import annotations
+
+import logging
+import time
+import typing
+
+import curio
+
+from banyantrack.core import clock
+from banyantrack.core import logs
+from banyantrack.core import signals
+from banyantrack.daemons import worker_link
+from banyantrack.generated.intent import ttypes as intent
+from banyantrack.generated.workload import ttypes
+from banyantrack.replication import errors as replication_errors
+from banyantrack.workload import durations as durations_module
+from banyantrack.workload import layout
+from banyantrack.workload import pacing
+from banyantrack.workload import planner as planner_module
+from banyantrack.workload import port as port_module
+from banyantrack.workload import room as room_module
+from banyantrack.workload import state as state_module
+from banyantrack.workload import waves as waves_module
+
+if typing.TYPE_CHECKING:
+    import collections.abc
+
+    from banyantrack.core import metrics as metrics_module
+    from banyantrack.generated.settings import ttypes as settings
+    from banyantrack.replication import replica as replica_module
+
+PROPOSE_TIMEOUT_S = 3.0
+# Longest time between two rounds; due times are looked at as often.
+ROUND_S = 0.1
+# Shortest time between two rounds, so that what comes together is planned
+# together.
+ROUND_PAUSE_S = 0.01
+# A gang whose members did not all start in this share of the time that
+# members wait for each other is stopped.
+GANG_SHARE = 0.4
+# A group whose run never began waits this long before the next try.
+BACKOFF_MS = 250.0
+# Advice is asked for again after a refusal or no answer.
+ADVICE_RETRY_S = 0.2
+# A platform call about a machine is made again after this long.
+UPKEEP_RETRY_S = 0.5
+# A worker on which runs failed is used after others for this long.
+AVOID_S = 20.0
+_LOG = logging.getLogger(__name__)
+_Commands = typing.Callable[
+    [ttypes.WorkCommand], 'collections.abc.Awaitable[typing.Any]'
+]
+
+
+class WorkSession:
+    """Soft state of one time of leadership.
+
+    Args:
+        replica: The member, which leads.
+        state: The replicated state.
+        ports: Opens ports to workers.
+        options: Settings of the platform.
+        propose: Proposes a command.
+        metrics: Metrics of the process.
+    """
+
+    def __init__(
+        self,
+        replica: replica_module.Replica,
+        state: state_module.WorkState,
+        ports: port_module.Ports,
+        options: settings.ControlPlatformSettings,
+        propose: _Commands,
+        metrics: metrics_module.Metrics,
+    ) -> None:
+        self._replica = replica
+        self._state = state
+        self._ports = ports
+        self._options = options
+        self._propose = propose
+        self._metrics = metrics
+        self._term = replica.term
+        self._links: dict[str, worker_link.WorkerLink] = {}
+        self._durations = durations_module.LearnedDurations()
+        self._planner = planner_module.Planner(
+            state, self._durations, remote_factor=options.remote_factor
+        )
+        self._pacer = pacing.Pacer()
+        self._work = signals.Signal()
+        self._dirty = True
+        self._blocked: dict[layout.GroupKey, float] = {}
+        self._approvals: dict[layout.GroupKey, planner_module.Approvals] = {}
+        self._asking: set[layout.GroupKey] = set()
+        self._advice_lock = curio.Lock()
+        self._gangs: dict[layout.GroupKey, tuple[int, float]] = {}
+        self._failed_at: dict[str, list[float]] = {}
+        self._at_work: dict[layout.TaskId, int] = {}
+        self._upkeep: dict[str, tuple[int, float]] = {}
+        self._calling: set[str] = set()
+        self._ended = False
+
+    # What links need; see `worker_link.Owner`.
+
+    @property
+    def token(self) -> int:
+        """Fencing token: the term, which no two leaders share."""
+        return self._term
+
+    def leads(self) -> bool:
+        """Whether no other leader can have been elected."""
+        return (
+            not self._ended
+            and self._replica.ready
+            and self._replica.term == self._term
+            and self._replica.lease_holds()
+        )
+
+    async def record_ends(self, ends: list[ttypes.RunEnd]) -> bool:
+        """Records ends; returns whether they are agreed."""
+        before = {
+            (end.worker_id, layout.task_id(end.task)): self._state.task(
+                layout.task_id(end.task)
+            )
+            for end in ends
+        }
+        started = {
+            key: (task.run, task.started_ms) if task else (0, 0)
+            for key, task in before.items()
+        }
+        if not await self._try_propose(ttypes.WorkCommand(ends=ends)):
+            return False
+        now_ms = clock.now_ms()
+        for end in ends:
+            key = layout.task_id(end.task)
+            run, started_ms = started[(end.worker_id, key)]
+            self._note_end(end, key, run, now_ms - started_ms)
+        return True
+
+    async def fenced(self, worker_id: str) -> None:
+        """Notes that a worker knows a higher token."""
+        logs.event(
+            _LOG,
+            'fenced',
+            level=logging.WARNING,
+            worker=worker_id,
+            token=self._term,
+        )
+        self._ended = True
+        await self._replica.step_down()
+
+    async def changed(self) -> None:
+        """Starts a round of planning soon."""
+        self._dirty = True
+        await self._work.notify()
+
+    def live_runs(
+        self, worker_id: str
+    ) -> list[tuple[layout.TaskId, ttypes.TaskRecord]]:
+        """Returns the runs that may be alive on a worker."""
+        return self._state.live_runs(worker_id)
+
+    def spec_of(self, job_id: str) -> str | None:
+        """Returns what the tasks of a job are told."""
+        record = self._state.jobs.get(job_id)
+        return None if record is None else record.job.spec
+
+    def current(self, start: ttypes.RunStart) -> bool:
+        """Whether a run is still wanted."""
+        record = self._state.jobs.get(start.task.job_id)
+        if record is None or record.state in state_module.FINISHED:
+            return False
+        task = self._state.task(layout.task_id(start.task))
+        return (
+            task is not None
+            and task.run == start.run
+            and task.worker_id == start.worker_id
+            and not task.done
+        )
+
+    def progress(self, worker_id: str, held: port_module.Held) -> None:
+        """Takes in what a worker says of its runs."""
+        worst = 0.0
+        for running in held.running:
+            self._at_work[running.key] = running.percent
+            record = self._state.jobs.get(running.key.job_id)
+            if record is None or running.usage is None:
+                continue
+            step = record.job.steps[running.key.step]
+            if step.target_ms > 0:
+                worst = max(worst, running.usage / step.target_ms)
+        if self._pacer.observe(worker_id, worst, clock.steady_s()):
+            self._dirty = True
+            logs.event(
+                _LOG,
+                'pace_changed',
+                worker=worker_id,
+                percent=self._pacer.percent(worker_id),
+                worst_share=worst,
+            )
+
+    # Life of the session.
+
+    async def run(self) -> None:
+        """Plans rounds until the leadership ends."""
+        logs.event(_LOG, 'work_started', term=self._term)
+        try:
+            while self.leads():
+                self._dirty = False
+                await self._follow_workers()
+                await self._round()
+                await curio.sleep(ROUND_PAUSE_S)
+                if not self._dirty:
+                    await self._work.wait_for(ROUND_S)
+        finally:
+            self._ended = True
+            for link in self._links.values():
+                await link.close()
+            logs.event(_LOG, 'work_ended', term=self._term)
+
+    def note_report(self, report: ttypes.WorkerReport) -> None:
+        """Takes in a worker's clock from its own report."""
+        link = self._links.get(report.worker.worker_id)
+        if (
+            link is not None
+            and link.record.incarnation == report.worker.incarnation
+        ):
+            link.note_clock(report.clock_ms)
+
+    async def _follow_workers(self) -> None:
+        """Opens links to new workers and closes those to old ones."""
+        lost: list[ttypes.RunEnd] = []
+        for worker_id, link in list(self._links.items()):
+            worker = self._state.workers.get(worker_id)
+            if (
+                worker is not None
+                and worker.incarnation == link.record.incarnation
+                and worker.address == link.record.address
+            ):
+                continue
+            await link.close()
+            del self._links[worker_id]
+        for worker in self._state.workers.values():
+            if worker.worker_id in self._links:
+                continue
+            link = worker_link.WorkerLink(
+                worker,
+                self._ports.open(worker),
+                self,
+                lease_ms=self._options.lease_ms,
+            )
+            self._links[worker.worker_id] = link
+            await link.open()
+        for record in self._state.active.values():
+            for key, task in layout.iterate(record):
+                if not task.worker_id:
+                    continue
+                worker = self._state.workers.get(task.worker_id)
+                if (
+                    worker is not None
+                    and worker.incarnation == task.incarnation
+                ):
+                    continue
+                lost.append(
+                    ttypes.RunEnd(
+                        task=layout.task_key(key),
+                        run=task.run,
+                        worker_id=task.worker_id,
+                        incarnation=task.incarnation,
+                        kind=ttypes.EndKind.LOST,
+                        checkpoint='',
+                    )
+                )
+        if lost:
+            await self.record_ends(lost)
+
+    # Rounds.
+
+    def _usable(self, worker: ttypes.WorkerRecord) -> bool:
+        link = self._links.get(worker.worker_id)
+        return link is not None and link.usable
+
+    def _penalty(self, worker_id: str) -> float:
+        since_s = clock.steady_s() - AVOID_S
+        failed = self._failed_at.get(worker_id, ())
+        return float(sum(1 for at_s in failed if at_s > since_s))
+
+    def _stopping(self) -> set[layout.TaskId]:
+        found: set[layout.TaskId] = set()
+        for link in self._links.values():
+            found |= link.stopping
+        return found
+
+    async def _round(self) -> None:
+        started_s = time.monotonic()
+        await self._stop_unwanted()
+        await self._send_unsent()
+        stopping = self._stopping()
+        fleet = room_module.Fleet(
+            self._state,
+            stopping=stopping,
+            usable=self._usable,
+            penalty=self._penalty,
+        )
+        await self._run_waves(fleet)
+        plan = self._planner.plan(
+            fleet,
+            now_ms=clock.now_ms(),
+            blocked=self._blocked,
+            stopping=stopping,
+            approvals=self._approvals,
+        )
+        for group in plan.advice_wanted:
+            await self._ask_advice(group)
+        for stop in plan.stops:
+            await self._stop(stop.key, stop.run, stop.worker_id, stop.reason)
+        self._metrics.histogram('banyan_work_round_us').record(
+            time.monotonic() - started_s
+        )
+        if plan.starts:
+            await self._start(plan.starts)
+
+    async def _start(self, starts: list[ttypes.RunStart]) -> None:
+        if not await self._try_propose(ttypes.WorkCommand(starts=starts)):
+            return
+        now_s = clock.steady_s()
+        for start in starts:
+            key = layout.task_id(start.task)
+            record = self._state.jobs.get(key.job_id)
+            if record is not None and record.job.steps[key.step].gang:
+                self._gangs[key.group] = (start.run, now_s)
+            logs.event(
+                _LOG,
+                'run_placed',
+                task='.'.join(map(str, key)),
+                run=start.run,
+                worker=start.worker_id,
+            )
+            link = self._links.get(start.worker_id)
+            if link is not None:
+                await link.start(start)
+        self._metrics.counter('banyan_runs_placed').add(len(starts))
+
+    async def _send_unsent(self) -> None:
+        """Sends runs whose record was agreed after we gave up waiting."""
+        for record in list(self._state.active.values()):
+            if record.state in state_module.FINISHED:
+                continue
+            for key, task in layout.iterate(record):
+                if not task.worker_id:
+                    continue
+                link = self._links.get(task.worker_id)
+                if link is None or link.knows(key, task.run):
+                    continue
+                await link.start(
+                    ttypes.RunStart(
+                        task=layout.task_key(key),
+                        run=task.run,
+                        worker_id=task.worker_id,
+                        incarnation=task.incarnation,
+                        checkpoint=task.checkpoint,
+                        ticket=task.ticket,
+                    )
+                )
+
+    async def _stop(
+        self, key: layout.TaskId, run: int, worker_id: str, reason: str
+    ) -> None:
+        link = self._links.get(worker_id)
+        if link is None or key in link.stopping:
+            return
+        logs.event(
+            _LOG,
+            'run_stopping',
+            task='.'.join(map(str, key)),
+            run=run,
+            worker=worker_id,
+            reason=reason,
+        )
+        self._metrics.counter('banyan_runs_stopped').add()
+        await link.stop(key, run)
+
+    async def _stop_unwanted(self) -> None:
+        """Stops runs of finished jobs and of gangs that are not whole."""
+        now_s = clock.steady_s()
+        limit_s = GANG_SHARE * self._options.gang_ms / 1000
+        for record in list(self._state.active.values()):
+            finished = record.state in state_module.FINISHED
+            for key, task in layout.iterate(record):
+                if not task.worker_id:
+                    continue
+                if finished:
+                    await self._stop(
+                        key, task.run, task.worker_id, 'job finished'
+                    )
+                elif self._is_broken(record, key, task, now_s, limit_s):
+                    await self._stop(
+                        key, task.run, task.worker_id, 'gang not whole'
+                    )
+        for group in list(self._gangs):
+            record = self._state.active.get(group.job_id)
+            if record is None:
+                del self._gangs[group]
+
+    def _is_broken(
+        self,
+        record: ttypes.JobRecord,
+        key: layout.TaskId,
+        task: ttypes.TaskRecord,
+        now_s: float,
+        limit_s: float,
+    ) -> bool:
+        if not record.job.steps[key.step].gang or task.done:
+            return False
+        members = layout.group_tasks(record, key.occurrence, key.step)
+        if any(
+            member.run != task.run or not member.worker_id
+            for member in members
+        ):
+            return True
+        run, started_s = self._gangs.get(key.group, (0, 0.0))
+        if run != task.run or now_s - started_s < limit_s:
+            return False
+        for index, member in enumerate(members):
+            link = self._links.get(member.worker_id)
+            member_key = layout.TaskId(*key.group, index)
+            if link is None or not link.is_confirmed(member_key, run):
+                return True
+        del self._gangs[key.group]
+        return False
+
+    def _note_end(
+        self,
+        end: ttypes.RunEnd,
+        key: layout.TaskId,
+        run: int,
+        ran_ms: float,
+    ) -> None:
+        kind = ttypes.EndKind._VALUES_TO_NAMES[end.kind].lower()
+        logs.event(
+            _LOG,
+            'run_ended',
+            task='.'.join(map(str, key)),
+            run=end.run,
+            worker=end.worker_id,
+            kind=kind,
+            ran_ms=ran_ms if run == end.run else None,
+        )
+        self._metrics.counter('banyan_runs_ended', kind=kind).add()
+        self._at_work.pop(key, None)
+        record = self._state.jobs.get(key.job_id)
+        if record is None or run != end.run:
+            return
+        step = record.job.steps[key.step]
+        if end.kind == ttypes.EndKind.DONE:
+            self._failed_at.pop(end.worker_id, None)
+            if not end.checkpoint:
+                self._durations.observe(record, step, ran_ms)
+        elif end.kind == ttypes.EndKind.FAILED:
+            self._failed_at.setdefault(end.worker_id, []).append(
+                clock.steady_s()
+            )
+        elif end.kind in (ttypes.EndKind.NEVER, ttypes.EndKind.ALONE):
+            self._blocked[key.group] = clock.now_ms() + BACKOFF_MS
+
+    # The policy service and upkeep.
+
+    async def _ask_advice(self, group: layout.GroupKey) -> None:
+        if group in self._asking:
+            return
+        self._asking.add(group)
+        await curio.spawn(self._advise, group, daemon=True)
+
+    async def _advise(self, group: layout.GroupKey) -> None:
+        try:
+            # The service takes one call at a time from each host.
+            async with self._advice_lock:
+                await self._advise_once(group)
+        finally:
+            self._asking.discard(group)
+        await self.changed()
+
+    async def _advise_once(self, group: layout.GroupKey) -> None:
+        record = self._state.active.get(group.job_id)
+        if record is None or record.queue.advice is None or self._ended:
+            return
+        workers = [
+            worker.worker_id
+            for worker in self._state.workers.values()
+            if worker.pool == record.queue.pool
+            and worker.state == ttypes.WorkerState.READY
+        ]
+        asked_ms = clock.now_ms()
+        try:
+            tickets = await self._ports.advise(group, workers[:100])
+        except port_module.NoAnswerError as error:
+            logs.event(
+                _LOG, 'advice_unanswered', level=logging.WARNING, error=error
+            )
+            tickets = None
+        if tickets is None:
+            self._blocked[group] = clock.now_ms() + ADVICE_RETRY_S * 1000
+            return
+        self._approvals[group] = planner_module.Approvals(
+            tickets, asked_ms + record.queue.advice.validity_ms
+        )
+        logs.event(
+            _LOG,
+            'advice',
+            job=group.job_id,
+            step=group.step,
+            asked=len(workers),
+            approved=len(tickets),
+        )
+
+    async def _run_waves(self, fleet: room_module.Fleet) -> None:
+        if not self._state.waves:
+            return
+        now_s = clock.steady_s()
+        for machine, (_, until_s) in list(self._upkeep.items()):
+            if now_s >= until_s:
+                del self._upkeep[machine]
+        plan = waves_module.plan_waves(
+            self._state,
+            fleet,
+            down={m: wave for m, (wave, _) in self._upkeep.items()},
+            away=self._away,
+        )
+        for room in fleet:
+            if room.record.worker_id in plan.emptying:
+                room.usable = False
+        for run in plan.stops:
+            await self._stop(
+                run.key, run.task.run, run.task.worker_id, 'upkeep'
+            )
+        for wave, machine in plan.begin:
+            if machine not in self._calling:
+                self._calling.add(machine)
+                # Counts against the wave's limit until the answer is known.
+                limit_s = now_s + self._options.upkeep_s + ROUND_S
+                self._upkeep[machine] = (wave, limit_s + UPKEEP_RETRY_S)
+                await curio.spawn(
+                    self._begin_upkeep, wave, machine, daemon=True
+                )
+        for wave in plan.completed:
+            begun = [ttypes.WaveBegun(number=wave, machine='')]
+            await self._try_propose(ttypes.WorkCommand(begun=begun))
+
+    def _away(self, group: layout.GroupKey) -> int:
+        record = self._state.active.get(group.job_id)
+        if record is None:
+            return 0
+        tasks = layout.group_tasks(record, group.occurrence, group.step)
+        return sum(
+            not task.worker_id
+            or self._at_work.get(layout.TaskId(*group, index), 0) < 100
+            for index, task in enumerate(tasks)
+        )
+
+    async def _begin_upkeep(self, wave: int, machine: str) -> None:
+        try:
+            while self.leads():
+                try:
+                    reason = await self._ports.begin_upkeep(
+                        machine,
+                        wave,
+                        holder=self._replica.member.name,
+                        token=self._term,
+                    )
+                except port_module.NoAnswerError as error:
+                    logs.event(
+                        _LOG,
+                        'upkeep_unanswered',
+                        level=logging.WARNING,
+                        machine=machine,
+                        error=error,
+                    )
+                    await curio.sleep(UPKEEP_RETRY_S)
+                    continue
+                logs.event(
+                    _LOG,
+                    'upkeep',
+                    machine=machine,
+                    wave=wave,
+                    outcome=reason.value,
+                )
+                if reason is port_module.Reason.FENCED:
+                    await self.fenced(machine)
+                    return
+                if reason in (
+                    port_module.Reason.DONE,
+                    port_module.Reason.INVALID,
+                ):
+                    until_s = clock.steady_s() + self._options.upkeep_s
+                    self._upkeep[machine] = (wave, until_s + 2 * ROUND_S)
+                    begun = [ttypes.WaveBegun(number=wave, machine=machine)]
+                    await self._try_propose(ttypes.WorkCommand(begun=begun))
+                    return
+                await curio.sleep(UPKEEP_RETRY_S)
+        finally:
+            self._calling.discard(machine)
+            await self.changed()
+
+    async def _try_propose(self, command: ttypes.WorkCommand) -> bool:
+        try:
+            await self._propose(command)
+        except replication_errors.ReplicationError as error:
+            logs.event(
+                _LOG,
+                'work_unconfirmed',
+                level=logging.WARNING,
+                error=error,
+            )
+            return False
+        return True
+
+
+class WorkLeadership:
+    """Runs a session whenever this member leads.
+
+    Args:
+        replica: The member.
+        state: The replicated state.
+        ports: Opens ports to workers.
+        options: Settings of the platform.
+        propose: Proposes a command of the intent state.
+        metrics: Metrics of the process.
+    """
+
+    def __init__(
+        self,
+        replica: replica_module.Replica,
+        state: state_module.WorkState,
+        ports: port_module.Ports,
+        options: settings.ControlPlatformSettings,
+        propose: collections.abc.Callable[
+            [intent.Command], collections.abc.Awaitable[typing.Any]
+        ],
+        metrics: metrics_module.Metrics,
+    ) -> None:
+        self._replica = replica
+        self._state = state
+        self._ports = ports
+        self._options = options
+        self._propose_intent = propose
+        self._metrics = metrics
+        self._session: WorkSession | None = None
+
+    @property
+    def session(self) -> WorkSession | None:
+        """The session, while this member leads."""
+        return self._session
+
+    async def propose(self, command: ttypes.WorkCommand) -> typing.Any:
+        """Proposes a command and returns its result.
+
+        Raises:
+            ReplicationError: If it is not agreed.
+        """
+        return await self._propose_intent(
+            intent.Command(now_ms=clock.now_ms(), work=command)
+        )
+
+    async def run(self) -> None:
+        """Leads whenever this member is the leader; until cancelled."""
+        while True:
+            if not (self._replica.ready and self._replica.lease_holds()):
+                await self._replica.wait_change(ROUND_S)
+                continue
+            self._session = WorkSession(
+                self._replica,
+                self._state,
+                self._ports,
+                self._options,
+                self.propose,
+                self._metrics,
+            )
+            try:
+                await self._session.run()
+            finally:
+                self._session = None
--- a/banyantrack/daemons/worker_api.py
+++ b/banyantrack/daemons/worker_api.py
@@ -5,9 +5,9 @@
 import dataclasses
 import json
 import logging
-import time
 import typing
 
+from banyantrack.core import clock
 from banyantrack.core import findings
 from banyantrack.core import logs
 from banyantrack.generated.intent import ttypes as intent
@@ -194,12 +194,12 @@
     ) -> list[gangs.TaskCommand]:
         """Returns commands, waiting for the first one."""
         wait_ms = min(report.wait_ms, self._lead.options.report_wait_ms)
-        deadline = time.monotonic() + wait_ms / 1000
+        deadline = clock.steady_s() + wait_ms / 1000
         while True:
             if self._lead.session is not session:
                 raise self._replica.not_leader()
             commands = session.tracker.commands(number, report.tasks)
-            left_s = deadline - time.monotonic()
+            left_s = deadline - clock.steady_s()
             if commands or left_s <= 0:
                 return commands
             await signal.wait_for(left_s)
@@ -214,8 +214,8 @@
         # Another leader may have been elected since a quorum answered, so
         # the lease counts from then.
         until = self._replica.quorum_contact_at + lease_s
-        until = min(until, time.monotonic() + lease_s)
-        left_s = until - time.monotonic()
+        until = min(until, clock.steady_s() + lease_s)
+        left_s = until - clock.steady_s()
         if left_s <= 0 or self._lead.session is not session:
             raise replication_errors.NotLeaderError('', '')
         session.tracker.grant(number, until)
--- a/banyantrack/intent/state.py
+++ b/banyantrack/intent/state.py
@@ -17,6 +17,7 @@
 from banyantrack.intent import objects
 from banyantrack.intent import table
 from banyantrack.intent import validation
+from banyantrack.workload import state as work_state
 
 if typing.TYPE_CHECKING:
     import collections.abc
@@ -61,6 +62,12 @@
         self._dirty = Dirty(set(), set())
         self._numbers: dict[int, str] = {}
         self._next_number = 0
+        self._work = work_state.WorkState()
+
+    @property
+    def work(self) -> work_state.WorkState:
+        """Jobs of tasks on workers that are called."""
+        return self._work
 
     @property
     def revision(self) -> int:
@@ -137,6 +144,8 @@
             self._register_workers(index, command.workers)
         if command.job_events is not None:
             self._job_events(index, command.job_events)
+        if command.work is not None:
+            return self._work.apply(command.work, self._clock_ms)
         return None
 
     def snapshot(self) -> bytes:
@@ -150,6 +159,7 @@
                 claims=self._claims.records(),
                 jobs=self._jobs.statuses(),
                 clock_ms=self._clock_ms,
+                work=self._work.snapshot(),
             )
         )
 
@@ -181,6 +191,7 @@
         self._keys.restore(snapshot.keys)
         self._claims.restore(snapshot.claims)
         self._jobs.restore(snapshot.jobs)
+        self._work.restore(snapshot.work)
         self._feed.reset(snapshot.revision)
         self._generation += 1
         self.mark_all_dirty()
--- /dev/null
+++ b/banyantrack/platform/config.py
@@ -0,0 +1,108 @@
+"""Configurations and waves of upkeep as the platform's operator sends."""
+
+from __future__ import annotations
+
+import typing
+
+from banyantrack.generated.workload import ttypes
+from banyantrack.platform import jobs
+from banyantrack.platform import wire
+
+if typing.TYPE_CHECKING:
+    from banyantrack.core import findings
+
+
+def parse_config(
+    body: bytes, found: findings.Findings
+) -> ttypes.WorkConfig | None:
+    """Reads a configuration.
+
+    Args:
+        body: The body.
+        found: Receives everything wrong with its form.
+
+    Returns:
+        The configuration; None if anything was found.
+    """
+    fields = wire.parse(body, found)
+    if fields is None:
+        return None
+    config = ttypes.WorkConfig(
+        version=fields.integer('version', required=True),
+        queues=[_queue(route) for route in fields.objects('routes')],
+        pools=[_pool(service) for service in fields.objects('services')],
+        accounts=[
+            _account(tenant)
+            for tenant in fields.objects('tenants', required=False)
+        ],
+        document=body,
+    )
+    return None if found.found else config
+
+
+def _queue(fields: wire.Fields) -> ttypes.Queue:
+    advice = None
+    if 'advice' in fields:
+        asked = fields.object('advice')
+        advice = ttypes.Advice(
+            decision_ms=asked.integer('decisionMs', high=jobs.INT32),
+            per_worker_ms=asked.integer('perWorkerMs', high=jobs.INT32),
+            validity_ms=asked.integer('validityMs', high=jobs.INT32),
+        )
+    return ttypes.Queue(
+        name=fields.text('name', required=True),
+        host=fields.text('host', required=True),
+        prefix=fields.text('pathPrefix', required=True),
+        pool=fields.text('service', required=True),
+        priority=fields.integer('priority', high=jobs.INT32),
+        attempts=fields.integer('attempts', high=jobs.INT32) or 1,
+        stretch=fields.number('stretch') or 1.0,
+        objective_ms=fields.integer('latencySloMs', high=jobs.INT32),
+        open_to_all=fields.flag('public'),
+        advice=advice,
+        timeout_ms=fields.integer('timeoutMs', high=jobs.INT32),
+    )
+
+
+def _pool(fields: wire.Fields) -> ttypes.Pool:
+    return ttypes.Pool(
+        name=fields.text('name', required=True),
+        spare=fields.flag('spare'),
+        guards_capacity=fields.flag('rejectsOverload'),
+    )
+
+
+def _account(fields: wire.Fields) -> ttypes.Account:
+    guaranteed = 0
+    if 'guaranteed' in fields:
+        guaranteed = fields.object('guaranteed').integer(
+            'gpu', high=jobs.INT32
+        )
+    return ttypes.Account(
+        name=fields.text('name', required=True),
+        keys=fields.texts('apiKeys'),
+        guaranteed_accelerators=guaranteed,
+    )
+
+
+def parse_wave(body: bytes, found: findings.Findings) -> ttypes.Wave | None:
+    """Reads a wave of upkeep; None if anything was found."""
+    fields = wire.parse(body, found)
+    if fields is None:
+        return None
+    wave = ttypes.Wave(
+        number=fields.integer('wave', required=True),
+        machines=fields.texts('machines', required=True),
+        duration_s=fields.integer('durationS', high=jobs.INT32),
+        at_once=fields.integer('maximum', high=jobs.INT32) or 1,
+        accepted_ms=0,
+        begun=[],
+        state=ttypes.WaveState.RUNNING,
+    )
+    return None if found.found else wave
+
+
+def wave_body(wave: ttypes.Wave) -> dict[str, str]:
+    """Returns the body that tells how far a wave is."""
+    done = wave.state == ttypes.WaveState.COMPLETED
+    return {'state': 'completed' if done else 'running'}
--- /dev/null
+++ b/banyantrack/platform/control_server.py
@@ -0,0 +1,214 @@
+"""The platform's interface of control: executors and the operator."""
+
+from __future__ import annotations
+
+import logging
+import typing
+import urllib.parse
+
+from banyantrack.core import findings
+from banyantrack.core import logs
+from banyantrack.platform import config as config_module
+from banyantrack.platform import reports
+from banyantrack.platform import wire
+from banyantrack.replication import errors as replication_errors
+from banyantrack.transport import addresses
+from banyantrack.transport import http
+from banyantrack.transport import http_server
+
+if typing.TYPE_CHECKING:
+    from banyantrack.core import metrics as metrics_module
+    from banyantrack.daemons import work_api
+
+CONFIG_PATH = '/v1/config'
+WORKER_PREFIX = '/v1/instances/'
+WAVE_START_PATH = '/v1/wave-start'
+WAVE_PREFIX = '/v1/wave-get/'
+METRICS_PATH = '/metrics'
+BODY_LIMIT_BYTES = 8 * 1024 * 1024
+_LOG = logging.getLogger(__name__)
+
+
+class ControlServer:
+    """Serves the platform at one control member.
+
+    Args:
+        address: `IP:PORT` to listen on.
+        api: Answers what is asked.
+        metrics: Metrics of the process.
+    """
+
+    def __init__(
+        self,
+        address: str,
+        api: work_api.WorkApi,
+        metrics: metrics_module.Metrics,
+    ) -> None:
+        self._address = address
+        self._api = api
+        self._metrics = metrics
+        self._server = http_server.HttpServer(address, self._serve)
+
+    @property
+    def active(self) -> int:
+        """Connections with a request in progress."""
+        return self._server.active
+
+    async def start(self) -> None:
+        """Starts to accept connections."""
+        await self._server.start()
+
+    async def stop_accepting(self) -> None:
+        """Accepts no more; requests in progress go on."""
+        await self._server.stop_accepting()
+
+    async def close(self) -> None:
+        """Ends all connections."""
+        await self._server.close()
+
+    async def _serve(self, request: http_server.Request) -> None:
+        path = urllib.parse.urlsplit(request.target).path
+        try:
+            await self._route(request, path)
+        except http.BodyTooLargeError as error:
+            await _refuse(request, 413, str(error))
+        except replication_errors.NotLeaderError as error:
+            await self._redirect(request, error)
+        except replication_errors.ReplicationError as error:
+            await _refuse(request, 503, str(error))
+
+    async def _route(self, request: http_server.Request, path: str) -> None:
+        call = (request.method, path)
+        if call == ('PUT', CONFIG_PATH):
+            await self._put_config(request)
+        elif call == ('GET', CONFIG_PATH):
+            await self._get_config(request)
+        elif path.startswith(WORKER_PREFIX):
+            await self._worker(request, path.removeprefix(WORKER_PREFIX))
+        elif call == ('POST', WAVE_START_PATH):
+            await self._start_wave(request)
+        elif request.method == 'GET' and path.startswith(WAVE_PREFIX):
+            await self._get_wave(request, path.removeprefix(WAVE_PREFIX))
+        elif call == ('GET', METRICS_PATH):
+            body = self._metrics.render().encode()
+            await request.respond(
+                200, [(b'content-type', b'text/plain')], body
+            )
+        else:
+            await _refuse(request, 404, f'got {request.method} {path}')
+
+    async def _put_config(self, request: http_server.Request) -> None:
+        body = await request.read_body(BODY_LIMIT_BYTES)
+        found = findings.Findings()
+        config = config_module.parse_config(body, found)
+        if config is not None:
+            await self._api.put_config(config, found)
+        if found.found:
+            await _refuse_findings(request, 'config_refused', found)
+            return
+        await request.respond(200, wire.JSON_TYPE, b'{}')
+
+    async def _get_config(self, request: http_server.Request) -> None:
+        config = await self._api.read_config()
+        if config is None:
+            await _refuse(request, 503, 'no configuration is in force yet')
+            return
+        await request.respond(200, wire.JSON_TYPE, config.document)
+
+    async def _worker(
+        self, request: http_server.Request, worker_id: str
+    ) -> None:
+        body = await request.read_body(BODY_LIMIT_BYTES)
+        if request.method == 'DELETE':
+            incarnation = request.header(b'born') or ''
+            await self._api.leave(
+                worker_id, int(incarnation) if incarnation.isdecimal() else 0
+            )
+            await request.respond(200, wire.JSON_TYPE, b'{}')
+            return
+        if request.method != 'PUT':
+            await _refuse(request, 405, 'valid are PUT and DELETE')
+            return
+        found = findings.Findings()
+        report = reports.parse_report(worker_id, body, found)
+        if report is not None:
+            await self._api.report(report, found)
+        if found.found:
+            await _refuse_findings(request, 'report_refused', found)
+            return
+        leader = self._api.replica.leader
+        answer = {}
+        if leader is not None and leader.address:
+            # Reports to the leader need not be passed on.
+            answer['heartbeatAddr'] = self._same_port(leader.address)
+        await request.respond(200, wire.JSON_TYPE, wire.encode(answer))
+
+    async def _start_wave(self, request: http_server.Request) -> None:
+        body = await request.read_body(BODY_LIMIT_BYTES)
+        found = findings.Findings()
+        wave = config_module.parse_wave(body, found)
+        if wave is None:
+            await _refuse_findings(request, 'wave_refused', found)
+            return
+        await self._api.start_wave(wave)
+        await request.respond(200, wire.JSON_TYPE, b'{}')
+
+    async def _get_wave(
+        self, request: http_server.Request, number: str
+    ) -> None:
+        wave = None
+        if number.isdecimal():
+            wave = await self._api.read_wave(int(number))
+        if wave is None:
+            await _refuse(request, 404, f'no wave {number}')
+            return
+        body = wire.encode(config_module.wave_body(wave))
+        await request.respond(200, wire.JSON_TYPE, body)
+
+    def _same_port(self, rpc_address: str) -> str:
+        """Returns this interface's address at another member's host."""
+        host = addresses.parse(rpc_address).host
+        return f'{host}:{addresses.parse(self._address).port}'
+
+    async def _redirect(
+        self,
+        request: http_server.Request,
+        error: replication_errors.NotLeaderError,
+    ) -> None:
+        if not error.leader_address:
+            await _refuse(request, 503, 'no leader is known now')
+            return
+        address = self._same_port(error.leader_address)
+        if address == self._address:
+            await _refuse(request, 503, 'no leader is known now')
+            return
+        location = f'http://{address}{request.target}'
+        await request.respond(
+            307,
+            [*wire.JSON_TYPE, (b'location', location.encode('latin-1'))],
+            b'{}',
+        )
+
+
+async def _refuse(
+    request: http_server.Request, status: int, message: str
+) -> None:
+    headers = list(wire.JSON_TYPE)
+    if status == 503:
+        headers.append((b'retry-after', b'1'))
+    body = wire.encode({'error': message})
+    await request.respond(status, headers, body)
+
+
+async def _refuse_findings(
+    request: http_server.Request, event: str, found: findings.Findings
+) -> None:
+    text = '; '.join(str(finding) for finding in found.found)
+    logs.event(
+        _LOG,
+        event,
+        level=logging.WARNING,
+        target=request.target,
+        reason=text,
+    )
+    await _refuse(request, 400, text)
--- a/banyantrack/replication/api.py
+++ b/banyantrack/replication/api.py
@@ -55,6 +55,9 @@
         group_commit: Whether waiting proposals are synced together.
         auto_admit: Names of members that become voters once they have
             caught up, without an operator's command.
+        target_voters: Number of voters up to which any learner that has
+            caught up becomes one; a voter that has been silent gives way
+            to a further one. 0 leaves that to operators.
     """
 
     election_timeout_s: float = 0.5
@@ -64,6 +67,7 @@
     append_bytes: int = 262144
     group_commit: bool = True
     auto_admit: frozenset[str] = frozenset()
+    target_voters: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/banyantrack/replication/elections.py
+++ b/banyantrack/replication/elections.py
@@ -3,11 +3,11 @@
 from __future__ import annotations
 
 import logging
-import time
 import typing
 
 import curio
 
+from banyantrack.core import clock
 from banyantrack.core import logs
 from banyantrack.core import states
 from banyantrack.generated.replication import ttypes
@@ -51,12 +51,12 @@
     def _is_due(self) -> bool:
         if self._owner.role is states.Role.LEARNER:
             return False
-        silent_s = time.monotonic() - self._owner.heard_at
+        silent_s = clock.steady_s() - self._owner.heard_at
         return silent_s >= self._timeout_s
 
     async def _check_quorum(self) -> None:
         """Stops leading before another member can have been elected."""
-        silent_s = time.monotonic() - self._owner.quorum_contact_at
+        silent_s = clock.steady_s() - self._owner.quorum_contact_at
         if silent_s < self._owner.options.election_timeout_s:
             return
         logs.event(
@@ -178,7 +178,7 @@
 def _has_leader(owner: replica.Replica) -> bool:
     if owner.is_leader:
         return True
-    silent_s = time.monotonic() - owner.heard_at
+    silent_s = clock.steady_s() - owner.heard_at
     return (
         owner.leader is not None
         and silent_s < owner.options.election_timeout_s
--- a/banyantrack/replication/joining.py
+++ b/banyantrack/replication/joining.py
@@ -2,11 +2,11 @@
 
 from __future__ import annotations
 
-import time
 import typing
 
 import curio
 
+from banyantrack.core import clock
 from banyantrack.generated.replication import ttypes
 from banyantrack.replication import errors
 from banyantrack.replication import quorum
@@ -23,7 +23,7 @@
 
 
 async def ask_for_admission(
-    owner: replica.Replica, contacts: collections.abc.Sequence[str]
+    owner: replica.Replica, contacts: collections.abc.Iterable[str]
 ) -> None:
     """Asks whenever a member needs it; until cancelled.
 
@@ -31,10 +31,11 @@
         owner: The member.
         contacts: RPC addresses of members that may know the leader.
     """
-    asked = list(contacts)
+    asked: list[str] = []
     while True:
         if not asked or not _needs_admission(owner):
-            asked = list(contacts)
+            own = owner.member.address
+            asked = [address for address in contacts if address != own]
             await curio.sleep(JOIN_RETRY_S)
             continue
         reply = await _ask(owner, asked.pop(0))
@@ -48,15 +49,21 @@
 
     The entry that made it a learner may have been replaced by another
     leader, which then knows nothing of it. A member that was a voter and
-    was removed does not ask again.
+    was removed only asks again where members come and go by themselves.
     """
     if owner.storage.is_empty and not owner.membership.voters:
         return True
     own_id = owner.member.member_id
     learners = {member.member_id for member in owner.membership.learners}
-    silent_s = time.monotonic() - owner.heard_at
+    silent_s = clock.steady_s() - owner.heard_at
     limit_s = SILENT_TIMEOUTS * owner.options.election_timeout_s
-    return own_id in learners and silent_s > limit_s
+    if silent_s <= limit_s:
+        return False
+    if own_id in learners:
+        return True
+    return owner.options.target_voters > 0 and own_id not in (
+        quorum.voter_ids(owner.membership)
+    )
 
 
 async def _ask(
--- a/banyantrack/replication/peers.py
+++ b/banyantrack/replication/peers.py
@@ -3,11 +3,11 @@
 from __future__ import annotations
 
 import logging
-import time
 import typing
 
 import curio
 
+from banyantrack.core import clock
 from banyantrack.core import logs
 from banyantrack.core import signals
 from banyantrack.generated.replication import ttypes
@@ -19,6 +19,9 @@
     from banyantrack.replication import replica
 
 MAX_VOTERS = 7
+# A voter that has not answered for this long may be replaced; a restart
+# with its log takes less.
+REPLACE_SILENT_S = 4.0
 _LOG = logging.getLogger(__name__)
 
 
@@ -91,7 +94,7 @@
     sent_at = float('-inf')
     while _leads(owner, peer, term):
         log = owner.storage.log
-        idle_s = time.monotonic() - sent_at
+        idle_s = clock.steady_s() - sent_at
         if (
             peer.next_index > log.last_index
             and commit_sent >= min(owner.commit_index, peer.match_index)
@@ -100,7 +103,7 @@
         ):
             await peer.wait(owner.options.heartbeat_s - idle_s)
             continue
-        sent_at = time.monotonic()
+        sent_at = clock.steady_s()
         commit_sent = owner.commit_index
         if not await _send(owner, peer, term):
             await curio.sleep(owner.options.heartbeat_s / 4)
@@ -108,7 +111,7 @@
 
 async def _send(owner: replica.Replica, peer: PeerProgress, term: int) -> bool:
     """Sends one message; returns whether it was answered."""
-    sent_at = time.monotonic()
+    sent_at = clock.steady_s()
     previous = peer.next_index - 1
     previous_term = owner.storage.term_at(previous)
     try:
@@ -362,13 +365,14 @@
 
 
 async def _maybe_admit(owner: replica.Replica, peer: PeerProgress) -> None:
-    """Makes a learner that has caught up a voter, if its name is known.
+    """Makes a learner that has caught up a voter, if there is a place.
 
     A voter of the same name is one whose storage was lost; the learner
     takes its place as one change.
     """
     member = peer.member
-    if member.name not in owner.options.auto_admit:
+    target = owner.options.target_voters
+    if member.name not in owner.options.auto_admit and not target:
         return
     if peer.match_index < owner.commit_index or not owner.ready:
         return
@@ -378,9 +382,25 @@
     replaced = [
         m.member_id for m in owner.membership.voters if m.name == member.name
     ]
+    if target and not replaced and len(owner.membership.voters) >= target:
+        replaced = _silent_voters(owner)
+        if not replaced:
+            return
     await owner.spawn(_admit, owner, member.member_id, replaced)
 
 
+def _silent_voters(owner: replica.Replica) -> list[str]:
+    """Returns voters that have not answered for long, that longest first."""
+    since_s = clock.steady_s() - REPLACE_SILENT_S
+    silent = [
+        (peer.contact_at, member.member_id)
+        for member in owner.membership.voters
+        if (peer := owner.peer(member.member_id)) is not None
+        and peer.contact_at < since_s
+    ]
+    return [member_id for _, member_id in sorted(silent)]
+
+
 async def _admit(
     owner: replica.Replica, learner_id: str, replaced: list[str]
 ) -> None:
--- a/banyantrack/replication/replica.py
+++ b/banyantrack/replication/replica.py
@@ -10,11 +10,11 @@
 
 import logging
 import random
-import time
 import typing
 
 import curio
 
+from banyantrack.core import clock
 from banyantrack.core import errors as core_errors
 from banyantrack.core import logs
 from banyantrack.core import signals
@@ -38,6 +38,9 @@
     ]
 
 APPLY_BATCH = 64
+# Share of the election timeout for which a quorum's answer is a lease; the
+# rest allows for clocks that differ in speed.
+LEASE_SHARE = 0.9
 _LOG = logging.getLogger(__name__)
 _Kind = ttypes.EntryKind
 
@@ -65,7 +68,7 @@
         transport: api.Transport,
         *,
         options: api.Options,
-        contacts: collections.abc.Sequence[str] = (),
+        contacts: collections.abc.Iterable[str] = (),
         rng: random.Random | None = None,
         run_blocking: RunBlocking = curio.run_in_thread,
     ) -> None:
@@ -75,12 +78,12 @@
         self._machine = machine
         self._transport = transport
         self._options = options
-        self._contacts = [a for a in contacts if a != member.address]
+        self._contacts = contacts
         self._rng = rng or random.Random()
         self._run_blocking = run_blocking
         self._role = states.Role.FOLLOWER
         self._leader: ttypes.Member | None = None
-        self._heard_at = time.monotonic()
+        self._heard_at = clock.steady_s()
         self._commit_index = storage.snapshot_index
         self._applied_index = 0
         self._synced_index = storage.log.last_index
@@ -179,7 +182,7 @@
         contacts = {
             peer_id: peer.contact_at for peer_id, peer in self._peers.items()
         }
-        contacts[self._member.member_id] = time.monotonic()
+        contacts[self._member.member_id] = clock.steady_s()
         return quorum.agreed(self.membership, contacts, float('-inf'))
 
     @property
@@ -196,12 +199,29 @@
             and self._applied_index >= self._term_start_index > 0
         )
 
+    def lease_holds(self) -> bool:
+        """Whether no other member can have been elected since.
+
+        Members that answered this leader grant no vote for the shortest
+        election timeout after that.
+        """
+        silent_s = clock.steady_s() - self.quorum_contact_at
+        return (
+            self.is_leader
+            and silent_s < LEASE_SHARE * self._options.election_timeout_s
+        )
+
+    async def step_down(self) -> None:
+        """Stops leading, because a later leader is known to exist."""
+        if self.is_leader:
+            await self.become_follower(self.term, None)
+
     def status(self) -> api.ReplicaStatus:
         """Returns the state of this member as it sees itself."""
         reachable: set[str] = set()
         losses = None
         if self.is_leader:
-            since = time.monotonic() - 2 * self._options.election_timeout_s
+            since = clock.steady_s() - 2 * self._options.election_timeout_s
             reachable = {
                 peer_id
                 for peer_id, peer in self._peers.items()
@@ -228,7 +248,7 @@
             StorageError: If the durable state fails.
             InvariantError: If something that must always hold does not.
         """
-        self._heard_at = time.monotonic()
+        self._heard_at = clock.steady_s()
         for work in (
             self._write_loop,
             self._apply_loop,
@@ -304,7 +324,7 @@
             NotLeaderError: If this member does not lead, or a quorum did
                 not confirm that it does in time.
         """
-        started_at = time.monotonic()
+        started_at = clock.steady_s()
         deadline = started_at + timeout_s
         term = self.term
         while True:
@@ -317,12 +337,12 @@
                 break
             for peer in self._peers.values():
                 await peer.request_contact(started_at)
-            left_s = deadline - time.monotonic()
+            left_s = deadline - clock.steady_s()
             if not await self._progressed.wait_for(left_s):
-                if time.monotonic() >= deadline:
+                if clock.steady_s() >= deadline:
                     raise self.not_leader()
         index = self._commit_index
-        left_s = deadline - time.monotonic()
+        left_s = deadline - clock.steady_s()
         if not await self.wait_applied(index, timeout_s=left_s):
             raise self.not_leader()
         return index
@@ -333,9 +353,9 @@
         Returns:
             Whether it is.
         """
-        deadline = time.monotonic() + timeout_s
+        deadline = clock.steady_s() + timeout_s
         while self._applied_index < index:
-            left_s = deadline - time.monotonic()
+            left_s = deadline - clock.steady_s()
             if left_s <= 0:
                 return False
             await self._applied.wait_for(left_s)
@@ -508,14 +528,14 @@
         self._role = states.Role.FOLLOWER
         self._leader = leader
         if was_leader:
-            self._heard_at = time.monotonic()
+            self._heard_at = clock.steady_s()
             await self._stop_leading()
 
     def become_candidate(self) -> None:
         """Stands for election in the next term, with its own vote."""
         self._role = states.Role.CANDIDATE
         self._leader = None
-        self._stood_at = time.monotonic()
+        self._stood_at = clock.steady_s()
         self.save_term(self.term + 1, self._member.member_id)
 
     async def become_leader(self) -> None:
@@ -543,7 +563,7 @@
 
     def hear_leader(self) -> None:
         """Notes a message from the leader or a vote given."""
-        self._heard_at = time.monotonic()
+        self._heard_at = clock.steady_s()
 
     # The log.
 
--- a/banyantrack/testing/in_process.py
+++ b/banyantrack/testing/in_process.py
@@ -10,6 +10,7 @@
 
 import curio
 
+from banyantrack.core import clock
 from banyantrack.core import documents
 from banyantrack.core import metrics
 from banyantrack.dispatch import claims as claims_module
@@ -50,7 +51,7 @@
         self.state = state_module.IntentState()
         self.reachable = True
         self.lose_replies = 0
-        self.contact_at = time.monotonic()
+        self.contact_at = clock.steady_s()
         self._index = 0
 
     async def call(
--- a/banyantrack/testing/virtual.py
+++ b/banyantrack/testing/virtual.py
@@ -11,6 +11,8 @@
 
 import curio
 
+from banyantrack.core import clock as clock_module
+
 START_S = 1_000.0
 # Each turn of the event loop takes some time, as it does in reality.
 TURN_S = 1e-6
@@ -59,6 +61,7 @@
     with (
         mock.patch.object(time, 'monotonic', clock.monotonic),
         mock.patch.object(time, 'time', clock.monotonic),
+        mock.patch.object(clock_module, 'steady_s', clock.monotonic),
     ):
         yield
 
--- a/banyantrack/transport/messages.py
+++ b/banyantrack/transport/messages.py
@@ -7,6 +7,7 @@
 
 from banyantrack.generated.cluster import ttypes as cluster
 from banyantrack.generated.replication import ttypes as replication
+from banyantrack.generated.workload import ttypes as workload
 
 
 class MessageKind(enum.IntEnum):
@@ -22,6 +23,9 @@
     COMMAND = 11
     OPERATOR = 12
     GOSSIP = 20
+    JOB = 30
+    REPORT = 31
+    MEMBERS = 32
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -57,6 +61,13 @@
         MessageKind.OPERATOR, cluster.OperatorRequest, cluster.OperatorReply
     ),
     CallType(MessageKind.GOSSIP, cluster.GossipRequest, cluster.GossipReply),
+    CallType(MessageKind.JOB, workload.JobCall, workload.JobAnswer),
+    CallType(
+        MessageKind.REPORT, workload.ReportRequest, workload.ReportReply
+    ),
+    CallType(
+        MessageKind.MEMBERS, workload.MembersRequest, workload.MembersReply
+    ),
 )
 BY_KIND = {int(call.kind): call for call in CALL_TYPES}
 BY_REQUEST = {call.request: call for call in CALL_TYPES}
--- /dev/null
+++ b/banyantrack/workload/__init__.py
@@ -0,0 +1,1 @@
+"""Jobs of steps of tasks on workers that are called."""
--- /dev/null
+++ b/banyantrack/workload/planner.py
@@ -0,0 +1,428 @@
+"""Decides which runs start where and which are stopped to make room.
+
+A round looks at the whole state and decides anew, so it needs no memory of
+its own: room that is being freed for a unit is set aside for it in each
+round until it starts.
+"""
+
+from __future__ import annotations
+
+import collections
+import dataclasses
+import typing
+
+from banyantrack.generated.workload import ttypes
+from banyantrack.workload import layout
+from banyantrack.workload import room as room_module
+from banyantrack.workload import units as units_module
+
+if typing.TYPE_CHECKING:
+    import collections.abc
+
+    from banyantrack.workload import state as state_module
+
+# An accelerator counts as this many processors of thrown away work.
+PROCESSORS_PER_ACCELERATOR = 8
+# Work that a checkpoint does not hold yet, in milliseconds, at the most.
+UNSAVED_MS = 2000
+
+
+@dataclasses.dataclass(slots=True)
+class Stop:
+    """A run to stop, and why."""
+
+    key: layout.TaskId
+    run: int
+    worker_id: str
+    reason: str
+
+
+@dataclasses.dataclass(slots=True)
+class Plan:
+    """Outcome of one round.
+
+    Attributes:
+        starts: Runs to start.
+        stops: Runs to stop.
+        waiting: Why units wait, by group.
+        advice_wanted: Groups whose policy service has to be asked.
+    """
+
+    starts: list[ttypes.RunStart] = dataclasses.field(default_factory=list)
+    stops: list[Stop] = dataclasses.field(default_factory=list)
+    waiting: dict[layout.GroupKey, str] = dataclasses.field(
+        default_factory=dict
+    )
+    advice_wanted: list[layout.GroupKey] = dataclasses.field(
+        default_factory=list
+    )
+
+
+@dataclasses.dataclass(slots=True)
+class Approvals:
+    """What the policy service said of one group.
+
+    Attributes:
+        tickets: Ticket by worker that may run the step.
+        expires_ms: Time of day when the tickets end.
+    """
+
+    tickets: dict[str, str]
+    expires_ms: float
+
+
+class Planner:
+    """Plans rounds.
+
+    Args:
+        state: The replicated state.
+        durations: Expected run times.
+        remote_factor: Times that a task takes longer away from its data.
+    """
+
+    def __init__(
+        self,
+        state: state_module.WorkState,
+        durations: units_module.Durations,
+        *,
+        remote_factor: float,
+    ) -> None:
+        self._state = state
+        self._durations = durations
+        self._remote_factor = remote_factor
+
+    def plan(
+        self,
+        fleet: room_module.Fleet,
+        *,
+        now_ms: int,
+        blocked: collections.abc.Mapping[layout.GroupKey, float],
+        stopping: collections.abc.Container[layout.TaskId],
+        approvals: collections.abc.Mapping[layout.GroupKey, Approvals],
+    ) -> Plan:
+        """Runs one round.
+
+        Args:
+            fleet: Workers and their room; changed by the round.
+            now_ms: Time of day.
+            blocked: Groups that wait, with the time until which they do.
+            stopping: Tasks whose runs are being stopped.
+            approvals: What the policy service said of groups.
+        """
+        plan = Plan()
+        for unit in units_module.ready_units(
+            self._state, self._durations, now_ms=now_ms, blocked=blocked
+        ):
+            allowed = None
+            if unit.record.queue.advice is not None:
+                allowed = approvals.get(unit.key)
+                if allowed is None or allowed.expires_ms <= now_ms:
+                    plan.advice_wanted.append(unit.key)
+                    plan.waiting[unit.key] = 'advice'
+                    continue
+            self._plan_unit(plan, fleet, unit, allowed, now_ms, stopping)
+        return plan
+
+    def _plan_unit(
+        self,
+        plan: Plan,
+        fleet: room_module.Fleet,
+        unit: units_module.Unit,
+        allowed: Approvals | None,
+        now_ms: int,
+        stopping: collections.abc.Container[layout.TaskId],
+    ) -> None:
+        candidates = [
+            room
+            for room in fleet.of_pool(unit.record.queue.pool)
+            if room.usable and _may_run(room, unit, allowed)
+        ]
+        need = room_module.need_of(unit.step)
+        chosen = self._choose(unit, candidates, need, now_ms)
+        if unit.step.gang and len(chosen) < len(unit.members):
+            chosen = []
+        for index, room in zip(unit.members, chosen, strict=False):
+            room.place(need)
+            plan.starts.append(_start(unit, index, room, allowed))
+        missing = unit.members[len(chosen) :]
+        if not missing:
+            return
+        plan.waiting[unit.key] = 'room'
+        if unit.priority == 0:
+            self._make_room(
+                plan, unit, candidates, need, len(missing), now_ms, stopping
+            )
+
+    def _choose(
+        self,
+        unit: units_module.Unit,
+        candidates: list[room_module.WorkerRoom],
+        need: room_module.Amount,
+        now_ms: int,
+    ) -> list[room_module.WorkerRoom]:
+        """Returns a worker for each member, as far as there is room."""
+        step = unit.step
+        # Waiting pays while it takes less time than running remotely would.
+        patience_ms = (self._remote_factor - 1) * self._durations.expected_ms(
+            unit.record, step
+        )
+        patient = now_ms - unit.due_ms < patience_ms
+        near = candidates
+        if step.data_rack:
+            near = [room for room in near if room.rack == step.data_rack]
+        if step.gang and step.same_rack:
+            racks = collections.defaultdict(list)
+            for room in near:
+                racks[room.rack].append(room)
+            found = [
+                _spread(unit, rooms, need, len(unit.members))
+                for rooms in racks.values()
+            ]
+            whole = [f for f in found if len(f) == len(unit.members)]
+            if whole:
+                return min(whole, key=_tightness)
+        else:
+            found = _spread(unit, near, need, len(unit.members))
+            if len(found) == len(unit.members) or near is candidates:
+                return found
+            if patient:
+                return found
+        if patient and near:
+            return []
+        return _spread(unit, candidates, need, len(unit.members))
+
+    def _make_room(
+        self,
+        plan: Plan,
+        unit: units_module.Unit,
+        candidates: list[room_module.WorkerRoom],
+        need: room_module.Amount,
+        count: int,
+        now_ms: int,
+        stopping: collections.abc.Container[layout.TaskId],
+    ) -> None:
+        """Sets room aside for urgent tasks; stops others where needed."""
+        left = count
+        chosen: list[room_module.WorkerRoom] = []
+        for room in sorted(candidates, key=lambda r: r.later.accelerators):
+            while left and room.later.fits(need):
+                room.later.take(need)
+                room.free.take(need)
+                chosen.append(room)
+                left -= 1
+        stops: list[Stop] = []
+        planned = {stop.key for stop in plan.stops}
+        while left:
+            best = None
+            for room in candidates:
+                victims = _victims(room, unit, need, planned, stopping)
+                if victims is None:
+                    continue
+                cost = sum(_loss(run, now_ms) for run in victims)
+                if best is None or cost < best[0]:
+                    best = (cost, room, victims)
+            if best is None:
+                break
+            _, room, victims = best
+            for run in victims:
+                for stop, other in _with_gang(run, unit):
+                    if stop.key in planned:
+                        continue
+                    planned.add(stop.key)
+                    stops.append(stop)
+                    holder = _holder(candidates, stop.worker_id)
+                    if holder is not None:
+                        holder.later.add(room_module.need_of(other))
+            room.later.take(need)
+            room.free.take(need)
+            chosen.append(room)
+            left -= 1
+        if left and unit.step.gang:
+            # A part of a gang's room is of no use to it.
+            for room in chosen:
+                room.later.add(need)
+                room.free.add(need)
+            for stop in stops:
+                holder = _holder(candidates, stop.worker_id)
+                record = self._state.jobs[stop.key.job_id]
+                if holder is not None:
+                    holder.later.take(
+                        room_module.need_of(record.job.steps[stop.key.step])
+                    )
+            return
+        plan.stops.extend(stops)
+
+
+def _holder(
+    candidates: list[room_module.WorkerRoom], worker_id: str
+) -> room_module.WorkerRoom | None:
+    for room in candidates:
+        if room.record.worker_id == worker_id:
+            return room
+    return None
+
+
+def _may_run(
+    room: room_module.WorkerRoom,
+    unit: units_module.Unit,
+    allowed: Approvals | None,
+) -> bool:
+    label = unit.step.required_label
+    if label and label not in room.record.labels:
+        return False
+    return allowed is None or room.record.worker_id in allowed.tickets
+
+
+def _spread(
+    unit: units_module.Unit,
+    candidates: list[room_module.WorkerRoom],
+    need: room_module.Amount,
+    count: int,
+) -> list[room_module.WorkerRoom]:
+    """Picks workers for tasks, those that they fill best first."""
+    limit = unit.step.max_per_worker
+    tasks = layout.group_tasks(
+        unit.record, unit.key.occurrence, unit.key.step
+    )
+    placed = collections.Counter(task.worker_id for task in tasks)
+    failed_on = {task.last_failed_on for task in tasks if task.failures}
+    chosen: list[room_module.WorkerRoom] = []
+    ordered = sorted(
+        candidates,
+        key=lambda room: (
+            room.record.worker_id in failed_on,
+            room.penalty,
+            room.free.accelerators,
+            room.free.cpu_milli,
+        ),
+    )
+    for room in ordered:
+        free = room.free.copy()
+        here = placed[room.record.worker_id]
+        while (
+            len(chosen) < count
+            and free.fits(need)
+            and (not limit or here < limit)
+        ):
+            free.take(need)
+            here += 1
+            chosen.append(room)
+        if len(chosen) == count:
+            break
+    return chosen
+
+
+def _tightness(rooms: list[room_module.WorkerRoom]) -> int:
+    """Returns the free accelerators of the workers that are touched."""
+    touched = {id(room): room for room in rooms}
+    return sum(room.free.accelerators for room in touched.values())
+
+
+def _start(
+    unit: units_module.Unit,
+    index: int,
+    room: room_module.WorkerRoom,
+    allowed: Approvals | None,
+) -> ttypes.RunStart:
+    tasks = layout.group_tasks(
+        unit.record, unit.key.occurrence, unit.key.step
+    )
+    if unit.step.gang:
+        run = max(task.run for task in tasks) + 1
+        checkpoint = max(task.checkpoint for task in tasks)
+    else:
+        run = tasks[index].run + 1
+        checkpoint = tasks[index].checkpoint
+    worker_id = room.record.worker_id
+    return ttypes.RunStart(
+        task=layout.task_key(layout.TaskId(*unit.key, index)),
+        run=run,
+        worker_id=worker_id,
+        incarnation=room.record.incarnation,
+        checkpoint=checkpoint if unit.step.checkpointable else '',
+        ticket=allowed.tickets[worker_id] if allowed else '',
+    )
+
+
+def _victims(
+    room: room_module.WorkerRoom,
+    unit: units_module.Unit,
+    need: room_module.Amount,
+    planned: set[layout.TaskId],
+    stopping: collections.abc.Container[layout.TaskId],
+) -> list[room_module.LiveRun] | None:
+    """Returns the runs whose end makes room for one task, or None."""
+    later = room.later.copy()
+    if later.fits(need):
+        return []
+    victims = []
+    for run in sorted(room.runs, key=lambda r: -r.step.accelerators):
+        if run.key in planned or run.key in stopping:
+            continue
+        if not _may_stop(run, unit):
+            continue
+        victims.append(run)
+        later.add(room_module.need_of(run.step))
+        if later.fits(need):
+            return _needed(room, victims, need)
+    return None
+
+
+def _needed(
+    room: room_module.WorkerRoom,
+    victims: list[room_module.LiveRun],
+    need: room_module.Amount,
+) -> list[room_module.LiveRun]:
+    """Leaves out victims without whom there is room enough, too."""
+    kept = list(victims)
+    for run in victims:
+        others = [other for other in kept if other is not run]
+        later = room.later.copy()
+        for other in others:
+            later.add(room_module.need_of(other.step))
+        if later.fits(need):
+            kept = others
+    return kept
+
+
+def _may_stop(run: room_module.LiveRun, unit: units_module.Unit) -> bool:
+    if run.step.long_running or run.step.may_miss:
+        return False
+    if run.record.queue.priority > unit.priority:
+        return True
+    return unit.guaranteed and not run.guaranteed
+
+
+def _with_gang(
+    run: room_module.LiveRun, unit: units_module.Unit
+) -> list[tuple[Stop, ttypes.Step]]:
+    """Returns the stops that ending one run takes: all of its gang."""
+    reason = f'room for {unit.record.job.job_id}'
+    if not run.step.gang:
+        stop = Stop(run.key, run.task.run, run.task.worker_id, reason)
+        return [(stop, run.step)]
+    found = []
+    group = run.key.group
+    tasks = layout.group_tasks(run.record, group.occurrence, group.step)
+    for index, task in enumerate(tasks):
+        if task.worker_id:
+            key = layout.TaskId(*group, index)
+            stop = Stop(key, task.run, task.worker_id, reason)
+            found.append((stop, run.step))
+    return found
+
+
+def _loss(run: room_module.LiveRun, now_ms: int) -> float:
+    """Returns the work that is thrown away with a run.
+
+    In processor-milliseconds; all members of a gang count.
+    """
+    lost_ms = max(now_ms - run.task.started_ms, 0)
+    if run.step.checkpointable:
+        lost_ms = min(lost_ms, UNSAVED_MS)
+    members = run.step.count if run.step.gang else 1
+    width = (
+        PROCESSORS_PER_ACCELERATOR * run.step.accelerators
+        + run.step.cpu_milli / 1000
+    )
+    return members * width * (lost_ms + 1)
--- /dev/null
+++ b/banyantrack/workload/state.py
@@ -0,0 +1,373 @@
+"""Replicated state of jobs, runs, workers and waves of upkeep.
+
+A run is recorded before its order goes out and an end before the worker is
+told that it was noted. So every leader knows each run that may be alive.
+"""
+
+from __future__ import annotations
+
+import typing
+
+from banyantrack.core import findings
+from banyantrack.generated.workload import ttypes
+from banyantrack.workload import layout
+from banyantrack.workload import routing
+from banyantrack.workload import validation
+
+if typing.TYPE_CHECKING:
+    import collections.abc
+
+# Finished jobs answer calls for this long; callers of the platform ask for
+# up to its `status_s`, two minutes on all deployments that are known.
+KEPT_MS = 600_000
+State = ttypes.JobState
+Verdict = ttypes.JobVerdict
+End = ttypes.EndKind
+FINISHED = frozenset((State.COMPLETED, State.FAILED, State.CANCELLED))
+
+
+class WorkState:
+    """Jobs of tasks and the workers that run them."""
+
+    def __init__(self) -> None:
+        self._config: ttypes.WorkConfig | None = None
+        self._router: routing.Router | None = None
+        self._jobs: dict[str, ttypes.JobRecord] = {}
+        self._active: dict[str, ttypes.JobRecord] = {}
+        self._workers: dict[str, ttypes.WorkerRecord] = {}
+        self._waves: dict[int, ttypes.Wave] = {}
+        self._generation = 0
+
+    @property
+    def config(self) -> ttypes.WorkConfig | None:
+        """The configuration in force; None before the first."""
+        return self._config
+
+    @property
+    def router(self) -> routing.Router | None:
+        """Queues and keys in force; None before the first configuration."""
+        return self._router
+
+    @property
+    def jobs(self) -> collections.abc.Mapping[str, ttypes.JobRecord]:
+        """All jobs by id."""
+        return self._jobs
+
+    @property
+    def active(self) -> collections.abc.Mapping[str, ttypes.JobRecord]:
+        """Jobs that have not finished or may still have a run alive."""
+        return self._active
+
+    @property
+    def workers(self) -> collections.abc.Mapping[str, ttypes.WorkerRecord]:
+        """All known workers by id."""
+        return self._workers
+
+    @property
+    def waves(self) -> collections.abc.Mapping[int, ttypes.Wave]:
+        """Waves of upkeep by number."""
+        return self._waves
+
+    @property
+    def generation(self) -> int:
+        """Goes up with each command."""
+        return self._generation
+
+    def task(self, key: layout.TaskId) -> ttypes.TaskRecord | None:
+        """Returns the record of a task, or None."""
+        record = self._jobs.get(key.job_id)
+        return None if record is None else layout.find_task(record, key)
+
+    def live_runs(
+        self, worker_id: str
+    ) -> list[tuple[layout.TaskId, ttypes.TaskRecord]]:
+        """Returns the runs that may be alive on a worker."""
+        return [
+            (key, task)
+            for record in self._active.values()
+            for key, task in layout.iterate(record)
+            if task.worker_id == worker_id
+        ]
+
+    def apply(self, command: ttypes.WorkCommand, now_ms: int) -> typing.Any:
+        """Applies a command.
+
+        Args:
+            command: The command.
+            now_ms: Time agreed with it, in milliseconds since 1970.
+
+        Returns:
+            A `JobAnswer` to a submission or cancellation, else None.
+        """
+        self._generation += 1
+        if command.config is not None:
+            self._apply_config(command.config)
+        if command.submit is not None:
+            return self._submit(command.submit, now_ms)
+        if command.cancel is not None:
+            return self._cancel(command.cancel, now_ms)
+        for worker in command.workers or ():
+            self._apply_worker(worker)
+        for end in command.ends or ():
+            self._apply_end(end, now_ms)
+        for start in command.starts or ():
+            self._apply_start(start, now_ms)
+        if command.wave is not None:
+            self._waves.setdefault(command.wave.number, command.wave)
+        for begun in command.begun or ():
+            self._apply_begun(begun)
+        return None
+
+    def snapshot(self) -> ttypes.WorkSnapshot:
+        """Returns the whole state."""
+        return ttypes.WorkSnapshot(
+            config=self._config,
+            jobs=list(self._jobs.values()),
+            workers=list(self._workers.values()),
+            waves=list(self._waves.values()),
+        )
+
+    def restore(self, snapshot: ttypes.WorkSnapshot | None) -> None:
+        """Replaces the state."""
+        self.__init__()
+        self._generation += 1
+        if snapshot is None:
+            return
+        if snapshot.config is not None:
+            self._apply_config(snapshot.config)
+        self._jobs = {record.job.job_id: record for record in snapshot.jobs}
+        self._workers = {w.worker_id: w for w in snapshot.workers}
+        self._waves = {wave.number: wave for wave in snapshot.waves}
+        for record in snapshot.jobs:
+            self._settle(record)
+
+    # Configuration and customers' calls.
+
+    def _apply_config(self, config: ttypes.WorkConfig) -> None:
+        held = self._config.version if self._config is not None else -1
+        if config.version > held:
+            self._config = config
+            self._router = routing.Router(config)
+
+    def route(
+        self, host: str, path: str, key: str
+    ) -> routing.Routed | ttypes.JobAnswer:
+        """Returns where a call goes, or the answer that refuses it."""
+        if self._router is None:
+            return _answer(Verdict.NO_CONFIG, 'no configuration is in force')
+        routed = self._router.route(host, path, key)
+        if isinstance(routed, routing.Routed):
+            return routed
+        return _answer(routed)
+
+    def _submit(
+        self, command: ttypes.SubmitCommand, now_ms: int
+    ) -> ttypes.JobAnswer:
+        routed = self.route(command.host, command.path, command.key)
+        if isinstance(routed, ttypes.JobAnswer):
+            return routed
+        job = command.job
+        known = self._jobs.get(job.job_id)
+        if known is not None:
+            return _answer(Verdict.DONE, state=known.state)
+        found = findings.Findings()
+        validation.check_job(job, found)
+        if found.found:
+            text = '; '.join(str(finding) for finding in found.found)
+            return _answer(Verdict.INVALID, text)
+        self._expire(now_ms)
+        count = layout.tasks_per_occurrence(job) * layout.occurrences(job)
+        record = ttypes.JobRecord(
+            job=job,
+            queue=routed.queue,
+            customer=routed.customer,
+            accepted_ms=now_ms,
+            state=State.QUEUED,
+            finished_ms=0,
+            tasks=[_new_task() for _ in range(count)],
+        )
+        self._jobs[job.job_id] = record
+        self._active[job.job_id] = record
+        return _answer(Verdict.DONE, state=State.QUEUED)
+
+    def _cancel(
+        self, command: ttypes.CancelCommand, now_ms: int
+    ) -> ttypes.JobAnswer:
+        routed = self.route(command.host, command.path, command.key)
+        if isinstance(routed, ttypes.JobAnswer):
+            return routed
+        record = self._jobs.get(routed.rest)
+        if record is None:
+            return _answer(Verdict.NO_JOB)
+        if record.state not in FINISHED:
+            self._finish(record, State.CANCELLED, now_ms)
+        return _answer(Verdict.DONE, state=record.state)
+
+    def _expire(self, now_ms: int) -> None:
+        """Drops jobs that finished long ago; they stand in that order."""
+        for job_id, record in list(self._jobs.items()):
+            if record.state not in FINISHED:
+                continue
+            if record.finished_ms + KEPT_MS > now_ms:
+                break
+            if job_id not in self._active:
+                del self._jobs[job_id]
+
+    def _finish(
+        self, record: ttypes.JobRecord, state: int, now_ms: int
+    ) -> None:
+        record.state = state
+        record.finished_ms = now_ms
+        # Finished jobs stand in the order in which they finished.
+        self._jobs[record.job.job_id] = self._jobs.pop(record.job.job_id)
+        self._settle(record)
+
+    def _settle(self, record: ttypes.JobRecord) -> None:
+        """Keeps a job among the active ones as long as it needs work."""
+        job_id = record.job.job_id
+        if record.state not in FINISHED or any(
+            task.worker_id for task in record.tasks
+        ):
+            self._active[job_id] = record
+        else:
+            self._active.pop(job_id, None)
+
+    # Runs.
+
+    def _apply_start(self, start: ttypes.RunStart, now_ms: int) -> None:
+        record = self._jobs.get(start.task.job_id)
+        if record is None or record.state in FINISHED:
+            return
+        task = layout.find_task(record, layout.task_id(start.task))
+        if task is None or task.done or task.worker_id:
+            return
+        if start.run <= task.run:
+            return
+        task.run = start.run
+        task.worker_id = start.worker_id
+        task.incarnation = start.incarnation
+        task.checkpoint = start.checkpoint
+        task.ticket = start.ticket
+        task.started_ms = now_ms
+        record.state = State.RUNNING
+
+    def _apply_end(self, end: ttypes.RunEnd, now_ms: int) -> None:
+        record = self._jobs.get(end.task.job_id)
+        if record is None:
+            return
+        key = layout.task_id(end.task)
+        task = layout.find_task(record, key)
+        if (
+            task is None
+            or task.run != end.run
+            or task.worker_id != end.worker_id
+            or task.incarnation != end.incarnation
+        ):
+            return
+        task.worker_id = ''
+        if end.checkpoint:
+            task.checkpoint = end.checkpoint
+        step = record.job.steps[key.step]
+        if end.kind == End.DONE and not step.long_running:
+            self._mark_done(record, key, step)
+        elif end.kind == End.FAILED:
+            self._mark_failed(record, key, step, task, end.worker_id)
+        if record.state not in FINISHED:
+            self._conclude(record, step, task, now_ms)
+        self._settle(record)
+
+    def _mark_done(
+        self,
+        record: ttypes.JobRecord,
+        key: layout.TaskId,
+        step: ttypes.Step,
+    ) -> None:
+        if not step.gang:
+            layout.find_task(record, key).done = True
+            return
+        # The members of a gang end together; one end stands for all.
+        for task in layout.group_tasks(record, key.occurrence, key.step):
+            task.done = True
+
+    def _mark_failed(
+        self,
+        record: ttypes.JobRecord,
+        key: layout.TaskId,
+        step: ttypes.Step,
+        task: ttypes.TaskRecord,
+        worker_id: str,
+    ) -> None:
+        task.last_failed_on = worker_id
+        if not step.gang:
+            task.failures += 1
+            return
+        members = layout.group_tasks(record, key.occurrence, key.step)
+        # Several members of one run may fail; the run counts once.
+        if any(member.failed_run == task.run for member in members):
+            return
+        for member in members:
+            member.failed_run = task.run
+            member.failures += 1
+
+    def _conclude(
+        self,
+        record: ttypes.JobRecord,
+        step: ttypes.Step,
+        task: ttypes.TaskRecord,
+        now_ms: int,
+    ) -> None:
+        if (
+            not step.long_running
+            and not task.done
+            and task.failures >= record.queue.attempts
+        ):
+            self._finish(record, State.FAILED, now_ms)
+        elif task.done and all(task.done for task in record.tasks):
+            self._finish(record, State.COMPLETED, now_ms)
+
+    # Workers and waves.
+
+    def _apply_worker(self, worker: ttypes.WorkerRecord) -> None:
+        known = self._workers.get(worker.worker_id)
+        if known is not None and known.incarnation > worker.incarnation:
+            return
+        if worker.state == ttypes.WorkerState.GONE:
+            self._workers.pop(worker.worker_id, None)
+        else:
+            self._workers[worker.worker_id] = worker
+
+    def _apply_begun(self, begun: ttypes.WaveBegun) -> None:
+        wave = self._waves.get(begun.number)
+        if wave is None:
+            return
+        if begun.machine and begun.machine not in wave.begun:
+            wave.begun.append(begun.machine)
+        if not begun.machine:
+            wave.state = ttypes.WaveState.COMPLETED
+
+
+def _new_task() -> ttypes.TaskRecord:
+    return ttypes.TaskRecord(
+        run=0,
+        worker_id='',
+        incarnation=0,
+        failures=0,
+        done=False,
+        checkpoint='',
+        ticket='',
+        started_ms=0,
+        last_failed_on='',
+        failed_run=0,
+    )
+
+
+def _answer(
+    verdict: int, detail: str = '', *, state: int = 0
+) -> ttypes.JobAnswer:
+    return ttypes.JobAnswer(
+        verdict=verdict,
+        state=state,
+        pending=0,
+        retry_after_s=0,
+        detail=detail,
+    )
--- /dev/null
+++ b/banyantrack/workload/units.py
@@ -0,0 +1,157 @@
+"""What may start now: whole gangs and single tasks, in order of need."""
+
+from __future__ import annotations
+
+import dataclasses
+import typing
+
+from banyantrack.generated.workload import ttypes
+from banyantrack.workload import guarantees
+from banyantrack.workload import layout
+from banyantrack.workload import state as state_module
+
+if typing.TYPE_CHECKING:
+    import collections.abc
+
+# Times the objective after which an answer is worth nothing.
+LATE_FACTOR = 3
+
+
+@dataclasses.dataclass(slots=True)
+class Unit:
+    """Tasks of one group that may start now.
+
+    Attributes:
+        record: The job.
+        key: The group.
+        step: The step.
+        members: Numbers of the tasks; all of the step for a gang.
+        guaranteed: Whether the job is urgent and within the accelerators
+            that belong to its customer.
+        due_ms: When the group could start, in milliseconds since 1970.
+        latest_ms: When it must start to end within its objective.
+        work: Accelerator-milliseconds that its tasks are expected to take.
+    """
+
+    record: ttypes.JobRecord
+    key: layout.GroupKey
+    step: ttypes.Step
+    members: list[int]
+    guaranteed: bool
+    due_ms: int
+    latest_ms: float
+    work: float
+
+    @property
+    def priority(self) -> int:
+        """Priority of the queue; 0 comes first."""
+        return self.record.queue.priority
+
+
+class Durations(typing.Protocol):
+    """Expected run times."""
+
+    def expected_ms(
+        self, record: ttypes.JobRecord, step: ttypes.Step
+    ) -> float:
+        """Returns how long a task of a step is expected to run."""
+
+
+def chain_ms(record: ttypes.JobRecord, durations: Durations) -> list[float]:
+    """Returns, for each step, the longest chain of work from its start."""
+    steps = record.job.steps
+    tail = [durations.expected_ms(record, step) for step in steps]
+    for number in range(len(steps) - 1, -1, -1):
+        for other in steps[number].depends_on:
+            after = durations.expected_ms(record, steps[other])
+            tail[other] = max(tail[other], after + tail[number])
+    return tail
+
+
+def occurrence_due_ms(record: ttypes.JobRecord, occurrence: int) -> int:
+    """Returns when an occurrence of a job may start."""
+    job = record.job
+    if job.repeat_count <= 0:
+        return record.accepted_ms
+    return job.start_ms + occurrence * job.interval_ms
+
+
+def ready_units(
+    state: state_module.WorkState,
+    durations: Durations,
+    *,
+    now_ms: int,
+    blocked: collections.abc.Mapping[layout.GroupKey, float],
+) -> list[Unit]:
+    """Returns what may start now, the most needed first.
+
+    Args:
+        state: The replicated state.
+        durations: Expected run times.
+        now_ms: Time of day.
+        blocked: Groups that wait, with the time until which they do.
+    """
+    covered = guarantees.covered_jobs(state)
+    found: list[Unit] = []
+    for record in state.active.values():
+        if record.state in state_module.FINISHED:
+            continue
+        tails = chain_ms(record, durations)
+        job = record.job
+        objective_ms = record.queue.objective_ms + (
+            record.queue.stretch * max(tails)
+        )
+        for occurrence in range(layout.occurrences(job)):
+            due_ms = occurrence_due_ms(record, occurrence)
+            if due_ms > now_ms:
+                break
+            for number, step in enumerate(job.steps):
+                key = layout.GroupKey(job.job_id, occurrence, number)
+                if blocked.get(key, 0) > now_ms:
+                    continue
+                members = _ready_members(record, key, step)
+                if not members:
+                    continue
+                each_ms = durations.expected_ms(record, step)
+                found.append(
+                    Unit(
+                        record=record,
+                        key=key,
+                        step=step,
+                        members=members,
+                        guaranteed=job.job_id in covered,
+                        due_ms=due_ms,
+                        latest_ms=due_ms + objective_ms - tails[number],
+                        work=len(members) * step.accelerators * each_ms,
+                    )
+                )
+    found.sort(key=lambda unit: _order(unit, now_ms))
+    return found
+
+
+def _ready_members(
+    record: ttypes.JobRecord, key: layout.GroupKey, step: ttypes.Step
+) -> list[int]:
+    tasks = layout.group_tasks(record, key.occurrence, key.step)
+    waiting = [
+        index
+        for index, task in enumerate(tasks)
+        if not task.done and not task.worker_id
+    ]
+    if not waiting or (step.gang and len(waiting) < len(tasks)):
+        return []
+    for other in step.depends_on:
+        before = layout.group_tasks(record, key.occurrence, other)
+        if not all(task.done for task in before):
+            return []
+    return waiting
+
+
+def _order(unit: Unit, now_ms: int) -> tuple[float, ...]:
+    """Returns a key that sorts what is most needed first."""
+    return (
+        0 if unit.guaranteed else 1,
+        unit.priority,
+        unit.latest_ms,
+        unit.work,
+    )
--- a/schema/intent.thrift
+++ b/schema/intent.thrift
@@ -1,6 +1,8 @@
 // Operators' objects, the commands that change them, and the snapshot form.
 namespace py banyantrack.generated.intent
 
+include "workload.thrift"
+
 struct Customer {
   // Share of the accelerators when several customers wait.
   1: optional i32 weight (default = "1", min = "1", max = "1000")
@@ -182,6 +184,7 @@
   6: optional list<PlaceCommand> place
   7: optional list<JobEventCommand> job_events
   8: optional list<StoredObject> workers
+  9: optional workload.WorkCommand work
 }
 
 enum Verdict {
@@ -265,4 +268,5 @@
   5: list<ClaimRecord> claims
   6: list<JobStatus> jobs
   7: i64 clock_ms
+  8: optional workload.WorkSnapshot work
 }
--- a/schema/settings.thrift
+++ b/schema/settings.thrift
@@ -64,6 +64,50 @@
   3: required string role (choices = "operator,monitoring,read-only")
 }
 
+// The platform's interface of control, served beside the operators' one.
+struct ControlPlatformSettings {
+  // Address for workers and the platform's operator, as IP:PORT.
+  1: required string address (form = "address")
+  // Addresses of the same interface at members that may be asked first.
+  2: required list<string> seeds (form = "address", min = "0", max = "7")
+  // Whether the whole system starts for the first time.
+  3: optional bool first_start (default = "false")
+  // Members whose data folders may be lost at once.
+  4: optional i32 tolerated_losses (default = "2", min = "0", max = "3")
+  // Longest lease that a worker grants.
+  5: optional i32 lease_ms (default = "6000", min = "500", max = "600000")
+  // Longest time that a worker takes to stop a task.
+  6: optional i32 stop_ms (default = "400", min = "1", max = "60000")
+  // Time after which a gang's member gives up waiting for the others.
+  7: optional i32 gang_ms (default = "3000", min = "100", max = "600000")
+  // Times that a task takes longer away from its data, or a gang apart.
+  8: optional double remote_factor (default = "3", min = "1", max = "1000")
+  // Address of the policy service; empty if there is none.
+  9: optional string advice_address (default = "")
+  // Address of the service that manages machines; empty if there is none.
+  10: optional string machines_address (default = "")
+  // Time that finished jobs are kept.
+  11: optional i32 status_s (default = "120", min = "1", max = "86400")
+  // Time that a machine's upkeep takes.
+  12: optional double upkeep_s (default = "2", min = "0", max = "86400")
+  // Longest time that a serving task may be over its target.
+  13: optional i32 interference_ms (default = "4000", min = "100", max = "600000")
+}
+
+// The platform's interface of an entry.
+struct EntryPlatformSettings {
+  // Address for customers, as IP:PORT.
+  1: required string address (form = "address")
+  // Address for the platform's readiness probes, as IP:PORT.
+  2: required string readiness_address (form = "address")
+  // Platform addresses of control members that may be asked first.
+  3: required list<string> seeds (form = "address", min = "0", max = "7")
+  // RPC port of control members.
+  4: required i32 control_rpc_port (min = "1", max = "65535")
+  // Time that a planned stop waits for requests in flight.
+  5: optional i32 stop_grace_ms (default = "4500", min = "0", max = "600000")
+}
+
 // Settings of banyan-control.
 struct ControlSettings {
   // Name of this member, one of `members` unless it joins later.
@@ -77,7 +121,7 @@
   // Folder of the durable state.
   5: required string data_folder (form = "folder")
   // First members of the group.
-  6: required list<ControlMember> members (min = "1", max = "7")
+  6: optional list<ControlMember> members (min = "0", max = "7")
   // Replicated log.
   7: optional ReplicationSettings replication
   // Placement of jobs.
@@ -86,6 +130,8 @@
   9: optional LoggingSettings logging
   // Operators' tokens; required off loopback.
   10: optional list<Token> tokens
+  // The platform's interface; none is served if this is left out.
+  11: optional ControlPlatformSettings platform (absent = "none")
 }
 
 // Limits of requests.
@@ -134,7 +180,7 @@
   // RPC address for other entries, as IP:PORT.
   4: required string rpc_address (form = "address")
   // RPC addresses of control members.
-  5: required list<string> control (form = "address", min = "1", max = "7")
+  5: optional list<string> control (form = "address", min = "0", max = "7")
   // RPC addresses of other entries that are asked first.
   6: optional list<string> peers (form = "address")
   // Time between two gossip messages.
@@ -145,6 +191,8 @@
   9: optional LoggingSettings logging
   // Operators' tokens; required off loopback.
   10: optional list<Token> tokens
+  // The platform's interface; the entry then takes jobs in its form only.
+  11: optional EntryPlatformSettings platform (absent = "none")
 }
 
 // One service-level objective.
--- a/tools/generate.py
+++ b/tools/generate.py
@@ -16,7 +16,7 @@
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 SCHEMA = ROOT / 'schema'
 GENERATED = ROOT / 'banyantrack' / 'generated'
-PACKAGES = ('replication', 'intent', 'cluster', 'settings')
+PACKAGES = ('replication', 'workload', 'intent', 'cluster', 'settings')
 
 sys.path.insert(0, str(ROOT))
 
