--- a/banyantrack/daemons/job_gateway.py
+++ b/banyantrack/daemons/job_gateway.py
@@ -126,7 +126,9 @@
         started_s = clock.steady_s()
         until_s = started_s + max(deadline_s - ANSWER_MARGIN_S, 0.05)
         probe = not call.host
-        call.request_id = call.request_id or f'{self._prefix}-{next(self._ids)}'
+        call.request_id = (
+            call.request_id or f'{self._prefix}-{next(self._ids)}'
+        )
         outcome, tries = await self._try_until(call, until_s)
         took_s = clock.steady_s() - started_s
         if probe:
@@ -195,9 +197,7 @@
                 continue
             self._leader = address
             self._led_at_s = clock.steady_s()
-            self._configured = (
-                answer.verdict != ttypes.JobVerdict.NO_CONFIG
-            )
+            self._configured = answer.verdict != ttypes.JobVerdict.NO_CONFIG
             if may_be_taken and answer.verdict in (
                 ttypes.JobVerdict.NO_CONFIG,
                 ttypes.JobVerdict.NOT_ACCEPTED,
--- a/banyantrack/daemons/worker_link.py
+++ b/banyantrack/daemons/worker_link.py
@@ -292,9 +292,7 @@
             await curio.sleep(RETRY_S)
             return
         if not self._answered:
-            logs.event(
-                _LOG, 'worker_regained', worker=self._record.worker_id
-            )
+            logs.event(_LOG, 'worker_regained', worker=self._record.worker_id)
             self._answered = True
             await self._owner.changed()
         await self._take_in(held, sent_s)
--- a/banyantrack/platform/jobs.py
+++ b/banyantrack/platform/jobs.py
@@ -104,9 +104,7 @@
     return authorization.removeprefix(KEY_SCHEME).strip()
 
 
-def answer_body(
-    asked: int, answer: ttypes.JobAnswer
-) -> dict[str, typing.Any]:
+def answer_body(asked: int, answer: ttypes.JobAnswer) -> dict[str, typing.Any]:
     """Returns the body of an answer to a call."""
     if answer.verdict != ttypes.JobVerdict.DONE:
         return {'error': answer.detail or _name(answer)}
--- a/banyantrack/platform/wire.py
+++ b/banyantrack/platform/wire.py
@@ -108,9 +108,7 @@
         """Returns the rows of a list that have at least some entries."""
         values = self._get(name, list, False) or []
         return [
-            row
-            for row in values
-            if isinstance(row, list) and len(row) >= size
+            row for row in values if isinstance(row, list) and len(row) >= size
         ]
 
     def _get(self, name: str, kind: type, required: bool) -> typing.Any:
--- a/banyantrack/transport/messages.py
+++ b/banyantrack/transport/messages.py
@@ -62,9 +62,7 @@
     ),
     CallType(MessageKind.GOSSIP, cluster.GossipRequest, cluster.GossipReply),
     CallType(MessageKind.JOB, workload.JobCall, workload.JobAnswer),
-    CallType(
-        MessageKind.REPORT, workload.ReportRequest, workload.ReportReply
-    ),
+    CallType(MessageKind.REPORT, workload.ReportRequest, workload.ReportReply),
     CallType(
         MessageKind.MEMBERS, workload.MembersRequest, workload.MembersReply
     ),
--- a/banyantrack/workload/planner.py
+++ b/banyantrack/workload/planner.py
@@ -281,9 +281,7 @@
 ) -> list[room_module.WorkerRoom]:
     """Picks workers for tasks, those that they fill best first."""
     limit = unit.step.max_per_worker
-    tasks = layout.group_tasks(
-        unit.record, unit.key.occurrence, unit.key.step
-    )
+    tasks = layout.group_tasks(unit.record, unit.key.occurrence, unit.key.step)
     placed = collections.Counter(task.worker_id for task in tasks)
     failed_on = {task.last_failed_on for task in tasks if task.failures}
     chosen: list[room_module.WorkerRoom] = []
@@ -324,9 +322,7 @@
     room: room_module.WorkerRoom,
     allowed: Approvals | None,
 ) -> ttypes.RunStart:
-    tasks = layout.group_tasks(
-        unit.record, unit.key.occurrence, unit.key.step
-    )
+    tasks = layout.group_tasks(unit.record, unit.key.occurrence, unit.key.step)
     if unit.step.gang:
         run = max(task.run for task in tasks) + 1
         checkpoint = max(task.checkpoint for task in tasks)
--- a/banyantrack/workload/waves.py
+++ b/banyantrack/workload/waves.py
@@ -60,9 +60,7 @@
         if wave.state == ttypes.WaveState.COMPLETED:
             continue
         left = [
-            machine
-            for machine in wave.machines
-            if machine not in wave.begun
+            machine for machine in wave.machines if machine not in wave.begun
         ]
         present = [machine for machine in left if machine in by_machine]
         if not present and not left:
--- a/schema/settings.thrift
+++ b/schema/settings.thrift
@@ -121,7 +121,7 @@
   // Folder of the durable state.
   5: required string data_folder (form = "folder")
   // First members of the group.
-  6: optional list<ControlMember> members (min = "0", max = "7")
+  6: optional list<ControlMember> members (min = "1", max = "7")
   // Replicated log.
   7: optional ReplicationSettings replication
   // Placement of jobs.
@@ -180,7 +180,7 @@
   // RPC address for other entries, as IP:PORT.
   4: required string rpc_address (form = "address")
   // RPC addresses of control members.
-  5: optional list<string> control (form = "address", min = "0", max = "7")
+  5: optional list<string> control (form = "address", min = "1", max = "7")
   // RPC addresses of other entries that are asked first.
   6: optional list<string> peers (form = "address")
   // Time between two gossip messages.
--- a/tools/settings_page.py
+++ b/tools/settings_page.py
@@ -10,6 +10,8 @@
 STRUCTS = (
     ('ControlSettings', 'banyan-control'),
     ('EntrySettings', 'banyan-entry'),
+    ('ControlPlatformSettings', 'platform (banyan-control)'),
+    ('EntryPlatformSettings', 'platform (banyan-entry)'),
     ('ReplicationSettings', 'replication'),
     ('PlacementSettings', 'placement'),
     ('DispatchSettings', 'dispatch'),
