Count only the run that is being stopped as room being freed

Now a stop names its run, and links hold a worker until their stops are settled. Rounds log why tasks wait.

--- a/banyantrack/daemons/work_leadership.py
+++ b/banyantrack/daemons/work_leadership.py
@@ -99,6 +99,7 @@
         self._at_work: dict[layout.TaskId, int] = {}
         self._upkeep: dict[str, tuple[int, float]] = {}
         self._calling: set[str] = set()
+        self._waiting: dict[layout.GroupKey, planner_module.Waiting] = {}
         self._ended = False
 
     # What links need; see `worker_link.Owner`.
@@ -286,8 +287,8 @@
         failed = self._failed_at.get(worker_id, ())
         return float(sum(1 for at_s in failed if at_s > since_s))
 
-    def _stopping(self) -> set[layout.TaskId]:
-        found: set[layout.TaskId] = set()
+    def _stopping(self) -> set[layout.RunId]:
+        found: set[layout.RunId] = set()
         for link in self._links.values():
             found |= link.stopping
         return found
@@ -311,6 +312,7 @@
             stopping=stopping,
             approvals=self._approvals,
         )
+        self._log_waiting(plan.waiting)
         for group in plan.advice_wanted:
             await self._ask_advice(group)
         for stop in plan.stops:
@@ -321,6 +323,27 @@
         if plan.starts:
             await self._start(plan.starts)
 
+    def _log_waiting(
+        self, waiting: dict[layout.GroupKey, planner_module.Waiting]
+    ) -> None:
+        for group, why in waiting.items():
+            known = self._waiting.get(group)
+            if known is not None and known.cause is why.cause:
+                continue
+            logs.event(
+                _LOG,
+                'tasks_wait',
+                job=group.job_id,
+                occurrence=group.occurrence,
+                step=group.step,
+                cause=why.cause.value,
+                members=why.members,
+                accelerators=why.accelerators,
+                workers=why.workers,
+                guaranteed=why.guaranteed,
+            )
+        self._waiting = waiting
+
     async def _start(self, starts: list[ttypes.RunStart]) -> None:
         if not await self._try_propose(ttypes.WorkCommand(starts=starts)):
             return
@@ -368,7 +391,11 @@
         self, key: layout.TaskId, run: int, worker_id: str, reason: str
     ) -> None:
         link = self._links.get(worker_id)
-        if link is None or key in link.stopping:
+        if link is None or layout.RunId(key, run) in link.stopping:
+            return
+        task = self._state.task(key)
+        if task is None or (task.run, task.worker_id) != (run, worker_id):
+            # It ended since the round looked.
             return
         logs.event(
             _LOG,
@@ -386,6 +413,9 @@
         now_s = clock.steady_s()
         limit_s = GANG_SHARE * self._options.gang_ms / 1000
         for record in list(self._state.active.values()):
+            if record.state == ttypes.JobState.COMPLETED:
+                # What is still listed as alive ends by itself.
+                continue
             finished = record.state in state_module.FINISHED
             for key, task in layout.iterate(record):
                 if not task.worker_id:
--- a/banyantrack/daemons/worker_link.py
+++ b/banyantrack/daemons/worker_link.py
@@ -117,11 +117,11 @@
         self._opened_s = clock.steady_s()
         self._last_start_s = float('-inf')
         self._unhealthy_until_s = float('-inf')
-        self._fenced: dict[tuple[layout.TaskId, int], float] = {}
-        self._unanswered: set[tuple[layout.TaskId, int]] = set()
-        self._confirmed: dict[tuple[layout.TaskId, int], float] = {}
-        self._stopping: set[tuple[layout.TaskId, int]] = set()
-        self._sent: set[tuple[layout.TaskId, int]] = set()
+        self._fenced: dict[layout.RunId, float] = {}
+        self._unanswered: set[layout.RunId] = set()
+        self._confirmed: dict[layout.RunId, float] = {}
+        self._stopping: set[layout.RunId] = set()
+        self._sent: set[layout.RunId] = set()
         self._checkpoints: dict[layout.TaskId, str] = {}
         self._tasks: list[curio.Task] = []
         self._closed = False
@@ -132,9 +132,9 @@
         return self._record
 
     @property
-    def stopping(self) -> set[layout.TaskId]:
-        """Tasks whose runs are being stopped."""
-        return {key for key, _ in self._stopping}
+    def stopping(self) -> frozenset[layout.RunId]:
+        """Runs that are being stopped."""
+        return frozenset(self._stopping)
 
     @property
     def usable(self) -> bool:
@@ -193,7 +193,7 @@
         """Stops a run; does nothing if that is under way."""
         if (key, run) in self._stopping:
             return
-        self._stopping.add((key, run))
+        self._stopping.add(layout.RunId(key, run))
         await self._order(_Order(stop=(key, run)))
 
     async def pace(self, key: layout.TaskId, run: int, percent: int) -> None:
@@ -240,8 +240,10 @@
 
     async def _hold_loop(self) -> None:
         while not self._closed:
-            if self._reconciled and not self._owner.live_runs(
-                self._record.worker_id
+            if (
+                self._reconciled
+                and not self._stopping
+                and not self._owner.live_runs(self._record.worker_id)
             ):
                 self._forget()
                 await self._wake.wait_for(self._lease_ms / 1000)
@@ -340,7 +342,7 @@
         if ends or first:
             await self._owner.changed()
 
-    def _drop(self, run: tuple[layout.TaskId, int]) -> None:
+    def _drop(self, run: layout.RunId) -> None:
         self._stopping.discard(run)
         self._sent.discard(run)
         self._fenced.pop(run, None)
@@ -348,7 +350,7 @@
         self._confirmed.pop(run, None)
 
     def _surely_absent(
-        self, run: tuple[layout.TaskId, int], sent_s: float, first: bool
+        self, run: layout.RunId, sent_s: float, first: bool
     ) -> bool:
         """Whether a run that a worker does not list never will be.
 
@@ -472,7 +474,7 @@
             await self.stop(*run)
 
     async def _note_start(
-        self, run: tuple[layout.TaskId, int], ordered: port_module.Ordered
+        self, run: layout.RunId, ordered: port_module.Ordered
     ) -> None:
         self.note_clock(ordered.clock_ms)
         logs.event(
@@ -499,9 +501,7 @@
             return
         await self._reject(run, ordered.reason.value)
 
-    async def _reject(
-        self, run: tuple[layout.TaskId, int], reason: str
-    ) -> None:
+    async def _reject(self, run: layout.RunId, reason: str) -> None:
         """Records that a run never began."""
         logs.event(
             _LOG,
--- /dev/null
+++ b/banyantrack/testing/work_builders.py
@@ -0,0 +1,185 @@
+"""Builders of jobs, workers and configurations for tests."""
+
+from __future__ import annotations
+
+import typing
+
+from banyantrack.generated.workload import ttypes
+from banyantrack.workload import durations
+from banyantrack.workload import planner as planner_module
+from banyantrack.workload import room
+from banyantrack.workload import state as state_module
+
+if typing.TYPE_CHECKING:
+    import collections.abc
+
+    from banyantrack.workload import layout
+
+NOW_MS = 1_000_000
+HOST = 'jobs.example'
+KEYS = {'growers': 'growers-key', 'pickers': 'pickers-key'}
+_MODEL = {
+    'count': 1,
+    'cpu_milli': 1000,
+    'memory_mb': 1000,
+    'accelerators': 1,
+    'estimated_ms': 2000,
+    'depends_on': [],
+    'checkpointable': False,
+    'gang': False,
+    'same_rack': False,
+    'required_label': '',
+    'data_rack': '',
+    'max_per_worker': 0,
+    'allow_duplicates': False,
+    'long_running': False,
+    'image': '',
+    'target_ms': 0,
+    'fills': False,
+    'may_miss': 0,
+}
+
+
+def step(**values: object) -> ttypes.Step:
+    """Returns a step of one small task, changed by what is given."""
+    return ttypes.Step(**(_MODEL | values))
+
+
+def job(job_id: str, *steps: ttypes.Step, **values: object) -> ttypes.TaskJob:
+    """Returns a job."""
+    fields = {'repeat_count': 0, 'start_ms': 0, 'interval_ms': 0}
+    return ttypes.TaskJob(
+        job_id=job_id,
+        spec='work',
+        steps=list(steps) or [step()],
+        **(fields | values),
+    )
+
+
+def queue(name: str, priority: int, **values: object) -> ttypes.Queue:
+    """Returns a queue at `/NAME/` of the pool `line`."""
+    fields = {
+        'host': HOST,
+        'prefix': f'/{name}/',
+        'pool': 'line',
+        'attempts': 3,
+        'stretch': 3.0,
+        'objective_ms': 1000,
+        'open_to_all': False,
+        'timeout_ms': 3000,
+    }
+    return ttypes.Queue(name=name, priority=priority, **(fields | values))
+
+
+def config(version: int = 1, **values: object) -> ttypes.WorkConfig:
+    """Returns a configuration with an urgent, a usual and a patient queue."""
+    fields = {
+        'queues': [queue('urgent', 0), queue('usual', 1), queue('patient', 2)],
+        'pools': [ttypes.Pool(name='line', spare=False)],
+        'accounts': [
+            ttypes.Account(name=name, keys=[key], guaranteed_accelerators=16)
+            for name, key in KEYS.items()
+        ],
+        'document': b'{}',
+    }
+    return ttypes.WorkConfig(version=version, **(fields | values))
+
+
+def worker(name: str, **values: object) -> ttypes.WorkerRecord:
+    """Returns a worker with eight accelerators."""
+    fields = {
+        'incarnation': 1,
+        'pool': 'line',
+        'address': '127.0.0.1:1',
+        'zone': 'z1',
+        'state': ttypes.WorkerState.READY,
+        'cpu_milli': 64_000,
+        'memory_mb': 256_000,
+        'accelerators': 8,
+        'labels': ['a', 'r1'],
+        'machine': f'm-{name}',
+    }
+    return ttypes.WorkerRecord(worker_id=name, **(fields | values))
+
+
+def state(*workers: ttypes.WorkerRecord) -> state_module.WorkState:
+    """Returns a state with a configuration and workers."""
+    made = state_module.WorkState()
+    made.apply(
+        ttypes.WorkCommand(config=config(), workers=list(workers)), NOW_MS
+    )
+    return made
+
+
+def submit(
+    target: state_module.WorkState,
+    handed_in: ttypes.TaskJob,
+    *,
+    name: str = 'usual',
+    customer: str = 'growers',
+    now_ms: int = NOW_MS,
+) -> ttypes.JobAnswer:
+    """Hands a job in at a queue."""
+    command = ttypes.SubmitCommand(
+        job=handed_in,
+        host=HOST,
+        path=f'/{name}/{handed_in.job_id}',
+        key=KEYS[customer],
+    )
+    return target.apply(ttypes.WorkCommand(submit=command), now_ms)
+
+
+def plan(
+    target: state_module.WorkState,
+    *,
+    now_ms: int = NOW_MS,
+    stopping: collections.abc.Container[layout.RunId] = (),
+    approvals: collections.abc.Mapping[
+        layout.GroupKey, planner_module.Approvals
+    ]
+    | None = None,
+) -> planner_module.Plan:
+    """Runs one round with all workers usable."""
+    made = planner_module.Planner(
+        target, durations.LearnedDurations(), remote_factor=3.0
+    )
+    fleet = room.Fleet(
+        target,
+        stopping=stopping,
+        usable=lambda _: True,
+        penalty=lambda _: 0.0,
+    )
+    return made.plan(
+        fleet,
+        now_ms=now_ms,
+        blocked={},
+        stopping=stopping,
+        approvals=approvals or {},
+    )
+
+
+def start(
+    target: state_module.WorkState, planned: planner_module.Plan
+) -> list[ttypes.RunStart]:
+    """Records the starts of a round and returns them."""
+    target.apply(ttypes.WorkCommand(starts=planned.starts), NOW_MS)
+    return planned.starts
+
+
+def end(
+    target: state_module.WorkState,
+    started: ttypes.RunStart,
+    kind: int,
+    *,
+    checkpoint: str = '',
+) -> None:
+    """Records the end of a run."""
+    ended = ttypes.RunEnd(
+        task=started.task,
+        run=started.run,
+        worker_id=started.worker_id,
+        incarnation=started.incarnation,
+        kind=kind,
+        checkpoint=checkpoint,
+    )
+    target.apply(ttypes.WorkCommand(ends=[ended]), NOW_MS)
--- /dev/null
+++ b/banyantrack/tests/test_work_planner.py
@@ -0,0 +1,221 @@
+"""Decisions about starts and stops, without a network."""
+
+from __future__ import annotations
+
+import testtools
+
+from banyantrack.generated.workload import ttypes
+from banyantrack.testing import work_builders as builders
+from banyantrack.workload import layout
+from banyantrack.workload import planner as planner_module
+
+End = ttypes.EndKind
+
+
+class TestRoom(testtools.TestCase):
+    def test_run_of_a_task_that_was_stopped_before_is_not_being_freed(self):
+        # Found on colx-banyan, trouble-2 --seed 344402133383: an urgent job
+        # waited for room of a run that nobody was stopping any more.
+        state = builders.state(builders.worker('w1'))
+        whole = builders.step(accelerators=8)
+        builders.submit(state, builders.job('a' * 16, whole))
+        first = builders.start(state, builders.plan(state))[0]
+        builders.end(state, first, End.STOPPED)
+        stopped = layout.RunId(layout.task_id(first.task), first.run)
+        again = builders.start(state, builders.plan(state))[0]
+        self.assertEqual(2, again.run)
+        builders.submit(state, builders.job('b' * 16, whole), name='urgent')
+        plan = builders.plan(state, stopping={stopped})
+        self.assertEqual(
+            [(layout.task_id(again.task), 2)],
+            [(stop.key, stop.run) for stop in plan.stops],
+        )
+
+    def test_room_being_freed_is_not_freed_twice(self):
+        state = builders.state(builders.worker('w1'))
+        whole = builders.step(accelerators=8)
+        builders.submit(state, builders.job('a' * 16, whole))
+        run = builders.start(state, builders.plan(state))[0]
+        builders.submit(state, builders.job('b' * 16, whole), name='urgent')
+        stop = layout.RunId(layout.task_id(run.task), run.run)
+        plan = builders.plan(state, stopping={stop})
+        self.assertEqual([], plan.stops)
+        self.assertEqual(
+            planner_module.Cause.ROOM_BEING_FREED,
+            plan.waiting[layout.GroupKey('b' * 16, 0, 0)].cause,
+        )
+
+    def test_room_that_is_freed_is_kept_for_the_urgent_job(self):
+        state = builders.state(builders.worker('w1'))
+        half = builders.step(accelerators=4)
+        builders.submit(state, builders.job('a' * 16, half))
+        builders.submit(state, builders.job('b' * 16, half))
+        runs = builders.start(state, builders.plan(state))
+        whole = builders.step(accelerators=8)
+        builders.submit(state, builders.job('c' * 16, whole), name='urgent')
+        builders.submit(state, builders.job('d' * 16, half))
+        builders.end(state, runs[0], End.STOPPED)
+        other = layout.RunId(layout.task_id(runs[1].task), runs[1].run)
+        plan = builders.plan(state, stopping={other})
+        self.assertEqual([], plan.starts)
+
+    def test_gang_of_all_members_or_none(self):
+        state = builders.state(builders.worker('w1'))
+        gang = builders.step(count=3, accelerators=4, gang=True)
+        builders.submit(state, builders.job('a' * 16, gang))
+        self.assertEqual([], builders.plan(state).starts)
+
+    def test_capacity_is_never_exceeded(self):
+        state = builders.state(builders.worker('w1'), builders.worker('w2'))
+        many = builders.step(count=30, accelerators=1, cpu_milli=20_000)
+        builders.submit(state, builders.job('a' * 16, many))
+        starts = builders.plan(state).starts
+        self.assertEqual(6, len(starts))
+
+    def test_at_most_so_many_on_one_worker(self):
+        state = builders.state(builders.worker('w1'), builders.worker('w2'))
+        many = builders.step(count=8, max_per_worker=2)
+        builders.submit(state, builders.job('a' * 16, many))
+        self.assertEqual(4, len(builders.plan(state).starts))
+
+    def test_required_label(self):
+        labelled = builders.worker('w2', labels=['b', 'r1'])
+        state = builders.state(builders.worker('w1'), labelled)
+        wants = builders.step(required_label='b')
+        builders.submit(state, builders.job('a' * 16, wants))
+        starts = builders.plan(state).starts
+        self.assertEqual(['w2'], [start.worker_id for start in starts])
+
+    def test_draining_worker_gets_nothing(self):
+        draining = builders.worker('w1', state=ttypes.WorkerState.DRAINING)
+        state = builders.state(draining)
+        builders.submit(state, builders.job('a' * 16))
+        self.assertEqual([], builders.plan(state).starts)
+
+    def test_step_waits_for_those_before(self):
+        state = builders.state(builders.worker('w1'))
+        after = builders.step(depends_on=[0])
+        builders.submit(state, builders.job('a' * 16, builders.step(), after))
+        first = builders.start(state, builders.plan(state))
+        self.assertEqual([0], [start.task.step for start in first])
+        builders.end(state, first[0], End.DONE)
+        second = builders.plan(state).starts
+        self.assertEqual([1], [start.task.step for start in second])
+
+    def test_time_of_an_occurrence(self):
+        state = builders.state(builders.worker('w1'))
+        due_ms = builders.NOW_MS + 5000
+        timed = builders.job(
+            'a' * 16,
+            builders.step(),
+            repeat_count=2,
+            start_ms=due_ms,
+            interval_ms=1000,
+        )
+        builders.submit(state, timed)
+        self.assertEqual([], builders.plan(state, now_ms=due_ms - 1).starts)
+        starts = builders.plan(state, now_ms=due_ms + 1000).starts
+        self.assertEqual([0, 1], [start.task.occurrence for start in starts])
+
+    def test_guaranteed_job_stops_urgent_work_that_borrows(self):
+        state = builders.state(builders.worker('w1'), builders.worker('w2'))
+        whole = builders.step(count=3, accelerators=8)
+        # Three whole workers are more than the 16 that belong to growers.
+        builders.submit(state, builders.job('a' * 16, whole), name='urgent')
+        builders.start(state, builders.plan(state))
+        one = builders.step(accelerators=8)
+        builders.submit(
+            state,
+            builders.job('b' * 16, one),
+            name='urgent',
+            customer='pickers',
+        )
+        self.assertEqual(1, len(builders.plan(state).stops))
+
+    def test_policy_service_is_asked_first(self):
+        state = builders.state(builders.worker('w1'), builders.worker('w2'))
+        advised = builders.queue(
+            'usual',
+            1,
+            advice=ttypes.Advice(
+                decision_ms=1, per_worker_ms=1, validity_ms=1000
+            ),
+        )
+        state.apply(
+            ttypes.WorkCommand(config=builders.config(2, queues=[advised])),
+            builders.NOW_MS,
+        )
+        builders.submit(state, builders.job('a' * 16))
+        group = layout.GroupKey('a' * 16, 0, 0)
+        plan = builders.plan(state)
+        self.assertEqual(([group], []), (plan.advice_wanted, plan.starts))
+        approved = planner_module.Approvals(
+            {'w2': 'ticket'}, builders.NOW_MS + 1000
+        )
+        starts = builders.plan(state, approvals={group: approved}).starts
+        self.assertEqual(
+            [('w2', 'ticket')], [(s.worker_id, s.ticket) for s in starts]
+        )
+
+
+class TestRuns(testtools.TestCase):
+    def test_gang_counts_one_failure_a_run(self):
+        state = builders.state(builders.worker('w1'))
+        gang = builders.step(count=3, accelerators=1, gang=True)
+        builders.submit(state, builders.job('a' * 16, gang))
+        for _ in range(2):
+            starts = builders.start(state, builders.plan(state))
+            for start in starts:
+                builders.end(state, start, End.FAILED)
+        record = state.jobs['a' * 16]
+        self.assertEqual([2, 2, 2], [task.failures for task in record.tasks])
+        self.assertEqual(ttypes.JobState.RUNNING, record.state)
+
+    def test_members_of_a_gang_share_run_and_checkpoint(self):
+        state = builders.state(builders.worker('w1'))
+        gang = builders.step(
+            count=2, accelerators=1, gang=True, checkpointable=True
+        )
+        builders.submit(state, builders.job('a' * 16, gang))
+        first = builders.start(state, builders.plan(state))
+        builders.end(state, first[0], End.STOPPED, checkpoint='c1')
+        builders.end(state, first[1], End.BROKEN)
+        again = builders.start(state, builders.plan(state))
+        self.assertEqual(
+            [(2, 'c1'), (2, 'c1')], [(s.run, s.checkpoint) for s in again]
+        )
+
+    def test_job_fails_after_its_attempts(self):
+        state = builders.state(builders.worker('w1'))
+        builders.submit(state, builders.job('a' * 16))
+        for _ in range(3):
+            start = builders.start(state, builders.plan(state))[0]
+            builders.end(state, start, End.FAILED)
+        self.assertEqual(ttypes.JobState.FAILED, state.jobs['a' * 16].state)
+        self.assertEqual([], builders.plan(state).starts)
+
+    def test_lasting_task_starts_again_however_it_ended(self):
+        state = builders.state(builders.worker('w1'))
+        lasting = builders.step(long_running=True)
+        builders.submit(state, builders.job('a' * 16, lasting))
+        for kind in (End.DONE, End.FAILED, End.FAILED, End.FAILED, End.LOST):
+            start = builders.start(state, builders.plan(state))[0]
+            builders.end(state, start, kind)
+        self.assertEqual(1, len(builders.plan(state).starts))
+
+    def test_late_end_of_an_earlier_run_changes_nothing(self):
+        state = builders.state(builders.worker('w1'))
+        builders.submit(state, builders.job('a' * 16))
+        first = builders.start(state, builders.plan(state))[0]
+        builders.end(state, first, End.LOST)
+        second = builders.start(state, builders.plan(state))[0]
+        builders.end(state, first, End.DONE)
+        task = state.task(layout.task_id(second.task))
+        self.assertEqual((False, 2), (task.done, task.run))
+
+    def test_same_id_is_one_job(self):
+        state = builders.state()
+        builders.submit(state, builders.job('a' * 16))
+        again = builders.submit(state, builders.job('a' * 16))
+        self.assertEqual(ttypes.JobVerdict.DONE, again.verdict)
+        self.assertEqual(1, len(state.jobs))
--- a/banyantrack/workload/layout.py
+++ b/banyantrack/workload/layout.py
@@ -45,6 +45,18 @@
         return GroupKey(self.job_id, self.occurrence, self.step)
 
 
+class RunId(typing.NamedTuple):
+    """One run of a task.
+
+    Attributes:
+        task: The task.
+        run: Number of the run, from 1.
+    """
+
+    task: TaskId
+    run: int
+
+
 def task_id(key: ttypes.TaskKey) -> TaskId:
     """Returns a message's task as a key of maps."""
     return TaskId(key.job_id, key.occurrence, key.step, key.index)
--- a/banyantrack/workload/planner.py
+++ b/banyantrack/workload/planner.py
@@ -9,6 +9,7 @@
 
 import collections
 import dataclasses
+import enum
 import typing
 
 from banyantrack.generated.workload import ttypes
@@ -37,6 +38,35 @@
     reason: str
 
 
+class Cause(enum.Enum):
+    """Why tasks wait."""
+
+    ADVICE = 'advice'
+    NO_WORKER = 'no-worker'
+    ROOM = 'room'
+    ROOM_BEING_FREED = 'room-being-freed'
+    NOTHING_TO_STOP = 'nothing-to-stop'
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Waiting:
+    """Why a group waits.
+
+    Attributes:
+        cause: The cause.
+        members: Tasks that wait.
+        accelerators: Accelerators that each of them needs.
+        workers: Workers that may run them.
+        guaranteed: Whether its customer's guarantee covers the job.
+    """
+
+    cause: Cause
+    members: int
+    accelerators: int
+    workers: int
+    guaranteed: bool
+
+
 @dataclasses.dataclass(slots=True)
 class Plan:
     """Outcome of one round.
@@ -50,7 +80,7 @@
 
     starts: list[ttypes.RunStart] = dataclasses.field(default_factory=list)
     stops: list[Stop] = dataclasses.field(default_factory=list)
-    waiting: dict[layout.GroupKey, str] = dataclasses.field(
+    waiting: dict[layout.GroupKey, Waiting] = dataclasses.field(
         default_factory=dict
     )
     advice_wanted: list[layout.GroupKey] = dataclasses.field(
@@ -97,7 +127,7 @@
         *,
         now_ms: int,
         blocked: collections.abc.Mapping[layout.GroupKey, float],
-        stopping: collections.abc.Container[layout.TaskId],
+        stopping: collections.abc.Container[layout.RunId],
         approvals: collections.abc.Mapping[layout.GroupKey, Approvals],
     ) -> Plan:
         """Runs one round.
@@ -106,7 +136,7 @@
             fleet: Workers and their room; changed by the round.
             now_ms: Time of day.
             blocked: Groups that wait, with the time until which they do.
-            stopping: Tasks whose runs are being stopped.
+            stopping: Runs that are being stopped.
             approvals: What the policy service said of groups.
         """
         plan = Plan()
@@ -118,7 +148,7 @@
                 allowed = approvals.get(unit.key)
                 if allowed is None or allowed.expires_ms <= now_ms:
                     plan.advice_wanted.append(unit.key)
-                    plan.waiting[unit.key] = 'advice'
+                    plan.waiting[unit.key] = _waiting(unit, Cause.ADVICE, [])
                     continue
             self._plan_unit(plan, fleet, unit, allowed, now_ms, stopping)
         return plan
@@ -130,7 +160,7 @@
         unit: units_module.Unit,
         allowed: Approvals | None,
         now_ms: int,
-        stopping: collections.abc.Container[layout.TaskId],
+        stopping: collections.abc.Container[layout.RunId],
     ) -> None:
         candidates = [
             room
@@ -147,11 +177,13 @@
         missing = unit.members[len(chosen) :]
         if not missing:
             return
-        plan.waiting[unit.key] = 'room'
-        if unit.priority == 0:
-            self._make_room(
+        cause = Cause.ROOM if candidates else Cause.NO_WORKER
+        if unit.priority == 0 and candidates:
+            made = self._make_room(
                 plan, unit, candidates, need, len(missing), now_ms, stopping
             )
+            cause = Cause.ROOM_BEING_FREED if made else Cause.NOTHING_TO_STOP
+        plan.waiting[unit.key] = _waiting(unit, cause, candidates)
 
     def _choose(
         self,
@@ -199,9 +231,13 @@
         need: room_module.Amount,
         count: int,
         now_ms: int,
-        stopping: collections.abc.Container[layout.TaskId],
-    ) -> None:
-        """Sets room aside for urgent tasks; stops others where needed."""
+        stopping: collections.abc.Container[layout.RunId],
+    ) -> bool:
+        """Sets room aside for urgent tasks; stops others where needed.
+
+        Returns:
+            Whether there will be room for all of them.
+        """
         left = count
         chosen: list[room_module.WorkerRoom] = []
         for room in sorted(candidates, key=lambda r: r.later.accelerators):
@@ -249,8 +285,23 @@
                     holder.later.take(
                         room_module.need_of(record.job.steps[stop.key.step])
                     )
-            return
+            return False
         plan.stops.extend(stops)
+        return not left
+
+
+def _waiting(
+    unit: units_module.Unit,
+    cause: Cause,
+    candidates: list[room_module.WorkerRoom],
+) -> Waiting:
+    return Waiting(
+        cause=cause,
+        members=len(unit.members),
+        accelerators=unit.step.accelerators,
+        workers=len(candidates),
+        guaranteed=unit.guaranteed,
+    )
 
 
 def _holder(
@@ -345,7 +396,7 @@
     unit: units_module.Unit,
     need: room_module.Amount,
     planned: set[layout.TaskId],
-    stopping: collections.abc.Container[layout.TaskId],
+    stopping: collections.abc.Container[layout.RunId],
 ) -> list[room_module.LiveRun] | None:
     """Returns the runs whose end makes room for one task, or None."""
     later = room.later.copy()
@@ -353,7 +404,10 @@
         return []
     victims = []
     for run in sorted(room.runs, key=lambda r: -r.step.accelerators):
-        if run.key in planned or run.key in stopping:
+        if (
+            run.key in planned
+            or layout.RunId(run.key, run.task.run) in stopping
+        ):
             continue
         if not _may_stop(run, unit):
             continue
--- a/banyantrack/workload/room.py
+++ b/banyantrack/workload/room.py
@@ -117,7 +117,7 @@
 
     Args:
         state: The replicated state.
-        stopping: Tasks whose runs are being stopped.
+        stopping: Runs that are being stopped.
         usable: Tells whether new runs may start on a worker.
         penalty: Returns the preference of a worker.
     """
@@ -126,7 +126,7 @@
         self,
         state: state_module.WorkState,
         *,
-        stopping: collections.abc.Container[layout.TaskId],
+        stopping: collections.abc.Container[layout.RunId],
         usable: collections.abc.Callable[[ttypes.WorkerRecord], bool],
         penalty: collections.abc.Callable[[str], float],
     ) -> None:
@@ -168,7 +168,7 @@
     def _add_runs(
         self,
         record: ttypes.JobRecord,
-        stopping: collections.abc.Container[layout.TaskId],
+        stopping: collections.abc.Container[layout.RunId],
         guaranteed: bool,
     ) -> None:
         for key, task in layout.iterate(record):
@@ -181,7 +181,7 @@
             need = need_of(step)
             room.free.take(need)
             room.runs.append(LiveRun(key, record, step, task, guaranteed))
-            if key not in stopping:
+            if layout.RunId(key, task.run) not in stopping:
                 room.later.take(need)
 
 
