--- a/banyantrack/tests/test_work_planner.py
+++ b/banyantrack/tests/test_work_planner.py
@@ -132,6 +132,33 @@
         )
         self.assertEqual(1, len(builders.plan(state).stops))
 
+    def test_gang_of_one_rack_gets_room_in_one_rack(self):
+        # Found on colx-banyan, quiet-1: room was set aside in two racks, and
+        # an urgent gang waited there though nothing was being stopped.
+        state = builders.state(
+            builders.worker('w1'),
+            builders.worker('w2'),
+            builders.worker('w3', labels=['a', 'r2']),
+            builders.worker('w4', labels=['a', 'r2']),
+        )
+        whole = builders.step(accelerators=8)
+        for name in 'ab':
+            builders.submit(state, builders.job(name * 16, whole))
+        runs = builders.start(state, builders.plan(state))
+        racks = {run.worker_id for run in runs}
+        self.assertEqual({'w1', 'w2'}, racks)
+        builders.end(state, runs[0], End.DONE)
+        last = builders.step(accelerators=8, required_label='r2')
+        builders.submit(state, builders.job('c' * 16, last))
+        builders.start(state, builders.plan(state))
+        gang = builders.step(
+            count=2, accelerators=8, gang=True, same_rack=True
+        )
+        builders.submit(state, builders.job('d' * 16, gang), name='urgent')
+        plan = builders.plan(state)
+        self.assertEqual([], plan.starts)
+        self.assertEqual(1, len(plan.stops))
+
     def test_policy_service_is_asked_first(self):
         state = builders.state(builders.worker('w1'), builders.worker('w2'))
         advised = builders.queue(
--- a/banyantrack/workload/planner.py
+++ b/banyantrack/workload/planner.py
@@ -14,28 +14,18 @@
 
 from banyantrack.generated.workload import ttypes
 from banyantrack.workload import layout
+from banyantrack.workload import reclaim
 from banyantrack.workload import room as room_module
 from banyantrack.workload import units as units_module
+from banyantrack.workload import values as values_module
 
 if typing.TYPE_CHECKING:
     import collections.abc
 
     from banyantrack.workload import state as state_module
 
-# An accelerator counts as this many processors of thrown away work.
-PROCESSORS_PER_ACCELERATOR = 8
-# Work that a checkpoint does not hold yet, in milliseconds, at the most.
-UNSAVED_MS = 2000
-
-
-@dataclasses.dataclass(slots=True)
-class Stop:
-    """A run to stop, and why."""
-
-    key: layout.TaskId
-    run: int
-    worker_id: str
-    reason: str
+# A guaranteed job must begin within some three seconds, wherever it is.
+GUARANTEED_PATIENCE_MS = 1500
 
 
 class Cause(enum.Enum):
@@ -79,7 +69,7 @@
     """
 
     starts: list[ttypes.RunStart] = dataclasses.field(default_factory=list)
-    stops: list[Stop] = dataclasses.field(default_factory=list)
+    stops: list[reclaim.Stop] = dataclasses.field(default_factory=list)
     waiting: dict[layout.GroupKey, Waiting] = dataclasses.field(
         default_factory=dict
     )
@@ -119,6 +109,7 @@
     ) -> None:
         self._state = state
         self._durations = durations
+        self._values = values_module.Values()
         self._remote_factor = remote_factor
 
     def plan(
@@ -141,7 +132,11 @@
         """
         plan = Plan()
         for unit in units_module.ready_units(
-            self._state, self._durations, now_ms=now_ms, blocked=blocked
+            self._state,
+            self._durations,
+            self._values,
+            now_ms=now_ms,
+            blocked=blocked,
         ):
             allowed = None
             if unit.record.queue.advice is not None:
@@ -180,7 +175,7 @@
         cause = Cause.ROOM if candidates else Cause.NO_WORKER
         if unit.priority == 0 and candidates:
             made = self._make_room(
-                plan, unit, candidates, need, len(missing), now_ms, stopping
+                plan, unit, candidates, len(missing), now_ms, stopping
             )
             cause = Cause.ROOM_BEING_FREED if made else Cause.NOTHING_TO_STOP
         plan.waiting[unit.key] = _waiting(unit, cause, candidates)
@@ -198,6 +193,8 @@
         patience_ms = (self._remote_factor - 1) * self._durations.expected_ms(
             unit.record, step
         )
+        if unit.guaranteed:
+            patience_ms = min(patience_ms, GUARANTEED_PATIENCE_MS)
         patient = now_ms - unit.due_ms < patience_ms
         near = candidates
         if step.data_rack:
@@ -228,7 +225,6 @@
         plan: Plan,
         unit: units_module.Unit,
         candidates: list[room_module.WorkerRoom],
-        need: room_module.Amount,
         count: int,
         now_ms: int,
         stopping: collections.abc.Container[layout.RunId],
@@ -238,56 +234,48 @@
         Returns:
             Whether there will be room for all of them.
         """
-        left = count
-        chosen: list[room_module.WorkerRoom] = []
-        for room in sorted(candidates, key=lambda r: r.later.accelerators):
-            while left and room.later.fits(need):
-                room.later.take(need)
-                room.free.take(need)
-                chosen.append(room)
-                left -= 1
-        stops: list[Stop] = []
-        planned = {stop.key for stop in plan.stops}
-        while left:
-            best = None
-            for room in candidates:
-                victims = _victims(room, unit, need, planned, stopping)
-                if victims is None:
-                    continue
-                cost = sum(_loss(run, now_ms) for run in victims)
-                if best is None or cost < best[0]:
-                    best = (cost, room, victims)
-            if best is None:
-                break
-            _, room, victims = best
-            for run in victims:
-                for stop, other in _with_gang(run, unit):
-                    if stop.key in planned:
-                        continue
-                    planned.add(stop.key)
-                    stops.append(stop)
-                    holder = _holder(candidates, stop.worker_id)
-                    if holder is not None:
-                        holder.later.add(room_module.need_of(other))
-            room.later.take(need)
-            room.free.take(need)
-            chosen.append(room)
-            left -= 1
-        if left and unit.step.gang:
-            # A part of a gang's room is of no use to it.
-            for room in chosen:
-                room.later.add(need)
-                room.free.add(need)
-            for stop in stops:
-                holder = _holder(candidates, stop.worker_id)
-                record = self._state.jobs[stop.key.job_id]
-                if holder is not None:
-                    holder.later.take(
-                        room_module.need_of(record.job.steps[stop.key.step])
-                    )
-            return False
-        plan.stops.extend(stops)
-        return not left
+        taken = {layout.RunId(stop.key, stop.run) for stop in plan.stops}
+        for rooms in _near_first(unit, candidates):
+            ways = [
+                reclaim.free_room(
+                    unit,
+                    among,
+                    count,
+                    now_ms=now_ms,
+                    stopping=stopping,
+                    taken=taken,
+                )
+                for among in rooms
+            ]
+            whole = [way for way in ways if way.members == count]
+            if not whole and unit.step.gang:
+                continue
+            best = min(whole or ways, key=lambda way: way.loss)
+            gain = unit.worth - unit.waits_worth
+            if best.loss > gain and not unit.guaranteed:
+                return False
+            best.set_aside(room_module.need_of(unit.step))
+            plan.stops.extend(best.stops)
+            return best.members == count
+        return False
+
+
+def _near_first(
+    unit: units_module.Unit, candidates: list[room_module.WorkerRoom]
+) -> list[list[list[room_module.WorkerRoom]]]:
+    """Returns sets of workers to try together, the nearest ones first."""
+    tries = []
+    near = candidates
+    if unit.step.data_rack:
+        near = [r for r in candidates if r.rack == unit.step.data_rack]
+        tries.append([near])
+    if unit.step.gang and unit.step.same_rack:
+        racks: dict[str, list[room_module.WorkerRoom]] = {}
+        for room in near:
+            racks.setdefault(room.rack, []).append(room)
+        tries.append(list(racks.values()))
+    tries.append([candidates])
+    return [rooms for rooms in tries if rooms]
 
 
 def _waiting(
@@ -304,15 +292,6 @@
     )
 
 
-def _holder(
-    candidates: list[room_module.WorkerRoom], worker_id: str
-) -> room_module.WorkerRoom | None:
-    for room in candidates:
-        if room.record.worker_id == worker_id:
-            return room
-    return None
-
-
 def _may_run(
     room: room_module.WorkerRoom,
     unit: units_module.Unit,
@@ -389,90 +368,3 @@
         checkpoint=checkpoint if unit.step.checkpointable else '',
         ticket=allowed.tickets[worker_id] if allowed else '',
     )
-
-
-def _victims(
-    room: room_module.WorkerRoom,
-    unit: units_module.Unit,
-    need: room_module.Amount,
-    planned: set[layout.TaskId],
-    stopping: collections.abc.Container[layout.RunId],
-) -> list[room_module.LiveRun] | None:
-    """Returns the runs whose end makes room for one task, or None."""
-    later = room.later.copy()
-    if later.fits(need):
-        return []
-    victims = []
-    for run in sorted(room.runs, key=lambda r: -r.step.accelerators):
-        if (
-            run.key in planned
-            or layout.RunId(run.key, run.task.run) in stopping
-        ):
-            continue
-        if not _may_stop(run, unit):
-            continue
-        victims.append(run)
-        later.add(room_module.need_of(run.step))
-        if later.fits(need):
-            return _needed(room, victims, need)
-    return None
-
-
-def _needed(
-    room: room_module.WorkerRoom,
-    victims: list[room_module.LiveRun],
-    need: room_module.Amount,
-) -> list[room_module.LiveRun]:
-    """Leaves out victims without whom there is room enough, too."""
-    kept = list(victims)
-    for run in victims:
-        others = [other for other in kept if other is not run]
-        later = room.later.copy()
-        for other in others:
-            later.add(room_module.need_of(other.step))
-        if later.fits(need):
-            kept = others
-    return kept
-
-
-def _may_stop(run: room_module.LiveRun, unit: units_module.Unit) -> bool:
-    if run.step.long_running or run.step.may_miss:
-        return False
-    if run.record.queue.priority > unit.priority:
-        return True
-    return unit.guaranteed and not run.guaranteed
-
-
-def _with_gang(
-    run: room_module.LiveRun, unit: units_module.Unit
-) -> list[tuple[Stop, ttypes.Step]]:
-    """Returns the stops that ending one run takes: all of its gang."""
-    reason = f'room for {unit.record.job.job_id}'
-    if not run.step.gang:
-        stop = Stop(run.key, run.task.run, run.task.worker_id, reason)
-        return [(stop, run.step)]
-    found = []
-    group = run.key.group
-    tasks = layout.group_tasks(run.record, group.occurrence, group.step)
-    for index, task in enumerate(tasks):
-        if task.worker_id:
-            key = layout.TaskId(*group, index)
-            stop = Stop(key, task.run, task.worker_id, reason)
-            found.append((stop, run.step))
-    return found
-
-
-def _loss(run: room_module.LiveRun, now_ms: int) -> float:
-    """Returns the work that is thrown away with a run.
-
-    In processor-milliseconds; all members of a gang count.
-    """
-    lost_ms = max(now_ms - run.task.started_ms, 0)
-    if run.step.checkpointable:
-        lost_ms = min(lost_ms, UNSAVED_MS)
-    members = run.step.count if run.step.gang else 1
-    width = (
-        PROCESSORS_PER_ACCELERATOR * run.step.accelerators
-        + run.step.cpu_milli / 1000
-    )
-    return members * width * (lost_ms + 1)
--- a/banyantrack/workload/units.py
+++ b/banyantrack/workload/units.py
@@ -9,12 +9,13 @@
 from banyantrack.workload import guarantees
 from banyantrack.workload import layout
 from banyantrack.workload import state as state_module
+from banyantrack.workload import values as values_module
 
 if typing.TYPE_CHECKING:
     import collections.abc
 
-# Times the objective after which an answer is worth nothing.
-LATE_FACTOR = 3
+# Units that need not start this soon may let smaller ones go first.
+NEAR_MS = 1500.0
 
 
 @dataclasses.dataclass(slots=True)
@@ -31,6 +32,8 @@
         due_ms: When the group could start, in milliseconds since 1970.
         latest_ms: When it must start to end within its objective.
         work: Accelerator-milliseconds that its tasks are expected to take.
+        worth: What the job is worth if the unit starts now.
+        waits_worth: What it is worth if it misses its latest start.
     """
 
     record: ttypes.JobRecord
@@ -41,6 +44,8 @@
     due_ms: int
     latest_ms: float
     work: float
+    worth: float
+    waits_worth: float
 
     @property
     def priority(self) -> int:
@@ -79,6 +84,7 @@
 def ready_units(
     state: state_module.WorkState,
     durations: Durations,
+    values: values_module.Values,
     *,
     now_ms: int,
     blocked: collections.abc.Mapping[layout.GroupKey, float],
@@ -88,6 +94,7 @@
     Args:
         state: The replicated state.
         durations: Expected run times.
+        values: Worth of jobs.
         now_ms: Time of day.
         blocked: Groups that wait, with the time until which they do.
     """
@@ -101,6 +108,12 @@
         objective_ms = record.queue.objective_ms + (
             record.queue.stretch * max(tails)
         )
+        whole = sum(
+            step.count
+            * step.accelerators
+            * durations.expected_ms(record, step)
+            for step in job.steps
+        )
         for occurrence in range(layout.occurrences(job)):
             due_ms = occurrence_due_ms(record, occurrence)
             if due_ms > now_ms:
@@ -113,6 +126,21 @@
                 if not members:
                     continue
                 each_ms = durations.expected_ms(record, step)
+                latest_ms = due_ms + objective_ms - tails[number]
+                worth = values.worth(
+                    record,
+                    whole,
+                    ends_ms=now_ms + tails[number],
+                    due_ms=due_ms,
+                    objective_ms=objective_ms,
+                )
+                waits_worth = values.worth(
+                    record,
+                    whole,
+                    ends_ms=max(latest_ms, now_ms) + tails[number] + 1,
+                    due_ms=due_ms,
+                    objective_ms=objective_ms,
+                )
                 found.append(
                     Unit(
                         record=record,
@@ -121,8 +149,10 @@
                         members=members,
                         guaranteed=job.job_id in covered,
                         due_ms=due_ms,
-                        latest_ms=due_ms + objective_ms - tails[number],
+                        latest_ms=latest_ms,
                         work=len(members) * step.accelerators * each_ms,
+                        worth=worth,
+                        waits_worth=waits_worth,
                     )
                 )
     found.sort(key=lambda unit: _order(unit, now_ms))
@@ -148,10 +178,17 @@
 
 
 def _order(unit: Unit, now_ms: int) -> tuple[float, ...]:
-    """Returns a key that sorts what is most needed first."""
+    """Returns a key that sorts what is most needed first.
+
+    Guaranteed jobs come first, since they must begin in time. Then comes
+    what gains most for the accelerators that it takes; what can wait gains
+    less.
+    """
+    slack_ms = max(unit.latest_ms - now_ms, 0.0)
+    urgency = 1.0 / (1.0 + slack_ms / NEAR_MS)
+    gain = unit.worth * (0.5 + 0.5 * urgency)
     return (
         0 if unit.guaranteed else 1,
-        unit.priority,
+        -gain / max(unit.work, 1.0),
         unit.latest_ms,
-        unit.work,
     )
