Order by priority, in time before late, hopeless last

Cause: by worth per accelerator, large jobs of a kind starved; by priority and latest start alone, what could not end in time any more took the room of what could.

--- a/banyantrack/workload/units.py
+++ b/banyantrack/workload/units.py
@@ -14,8 +14,8 @@
 if typing.TYPE_CHECKING:
     import collections.abc
 
-# Units that need not start this soon may let smaller ones go first.
-NEAR_MS = 1500.0
+# A job that is worth less will end too late to be of use.
+HOPELESS_WORTH = 0.1
 
 
 @dataclasses.dataclass(slots=True)
@@ -180,15 +180,14 @@
 def _order(unit: Unit, now_ms: int) -> tuple[float, ...]:
     """Returns a key that sorts what is most needed first.
 
-    Guaranteed jobs come first, since they must begin in time. Then comes
-    what gains most for the accelerators that it takes; what can wait gains
-    less.
+    Guaranteed jobs come first, since they must begin in time, and what is
+    worth nothing any more last. Of each priority, what can still end in
+    time goes before what cannot.
     """
-    slack_ms = max(unit.latest_ms - now_ms, 0.0)
-    urgency = 1.0 / (1.0 + slack_ms / NEAR_MS)
-    gain = unit.worth * (0.5 + 0.5 * urgency)
     return (
         0 if unit.guaranteed else 1,
-        -gain / max(unit.work, 1.0),
+        1 if unit.worth < HOPELESS_WORTH else 0,
+        unit.priority,
+        1 if now_ms > unit.latest_ms else 0,
         unit.latest_ms,
     )
