--- a/banyantrack/daemons/worker_link.py
+++ b/banyantrack/daemons/worker_link.py
@@ -329,6 +329,8 @@
                 )
                 await self.stop(*run)
         if ends and not await self._owner.record_ends(ends):
+            # The worker lists them again.
+            await curio.sleep(RETRY_S)
             return
         numbers = [ended.number for ended in held.ended]
         self._noted = max(numbers, default=self._noted)
--- a/banyantrack/replication/elections.py
+++ b/banyantrack/replication/elections.py
@@ -19,6 +19,11 @@
 
 # Members look this many times in an election timeout whether it is over.
 CHECKS_PER_TIMEOUT = 10
+# Syncs take some ten milliseconds; a leader whose own take this long holds
+# everyone up.
+SLOW_SYNC_S = 0.15
+# A leader that could not leave the lead tries again after this.
+SLOW_DISK_PAUSE_S = 3.0
 _LOG = logging.getLogger(__name__)
 
 
@@ -32,6 +37,7 @@
     def __init__(self, owner: replica.Replica) -> None:
         self._owner = owner
         self._timeout_s = self._draw_timeout()
+        self._disk_checked_s = float('-inf')
 
     async def run(self) -> None:
         """Watches the time until cancelled."""
@@ -40,6 +46,7 @@
             await curio.sleep(pause_s)
             if self._owner.is_leader:
                 await self._check_quorum()
+                await self._check_disk()
             elif self._is_due():
                 self._timeout_s = self._draw_timeout()
                 await campaign(self._owner)
@@ -54,6 +61,28 @@
         silent_s = clock.steady_s() - self._owner.heard_at
         return silent_s >= self._timeout_s
 
+    async def _check_disk(self) -> None:
+        """Leaves the lead to a member whose disk is not as slow."""
+        if self._owner.sync_s < SLOW_SYNC_S:
+            return
+        now_s = clock.steady_s()
+        if now_s < self._disk_checked_s + SLOW_DISK_PAUSE_S:
+            return
+        self._disk_checked_s = now_s
+        logs.event(
+            _LOG,
+            'disk_slow',
+            level=logging.WARNING,
+            term=self._owner.term,
+            sync_s=self._owner.sync_s,
+        )
+        await self._owner.spawn(self._hand_over)
+
+    async def _hand_over(self) -> None:
+        timeout_s = self._owner.options.election_timeout_s
+        done = await self._owner.hand_over(timeout_s=timeout_s)
+        logs.event(_LOG, 'leadership_handed_over', done=done)
+
     async def _check_quorum(self) -> None:
         """Stops leading before another member can have been elected."""
         silent_s = clock.steady_s() - self._owner.quorum_contact_at
--- a/banyantrack/replication/peers.py
+++ b/banyantrack/replication/peers.py
@@ -41,6 +41,7 @@
         'contact_at',
         'wanted_contact_at',
         'snapshot_offset',
+        'refuses',
         '_signal',
     )
 
@@ -54,6 +55,8 @@
         self.contact_at = contact_at
         self.wanted_contact_at = 0.0
         self.snapshot_offset = 0
+        # Whether it lately could not add entries that fit its log.
+        self.refuses = False
         self._signal = signals.Signal()
 
     async def wake(self) -> None:
@@ -107,6 +110,9 @@
         commit_sent = owner.commit_index
         if not await _send(owner, peer, term):
             await curio.sleep(owner.options.heartbeat_s / 4)
+        elif peer.refuses:
+            # Its disk takes nothing more; heartbeats are enough.
+            await curio.sleep(owner.options.heartbeat_s)
 
 
 async def _send(owner: replica.Replica, peer: PeerProgress, term: int) -> bool:
@@ -161,9 +167,13 @@
     )
     if not await _counts(owner, peer, term, reply.term):
         return False
+    peer.refuses = False
     if reply.success:
         peer.match_index = max(peer.match_index, reply.last_index)
         peer.next_index = max(peer.next_index, reply.last_index + 1)
+    elif reply.last_index >= previous:
+        # It has what comes before, and could not add to it.
+        peer.refuses = True
     else:
         lowered = min(reply.last_index + 1, peer.next_index - 1)
         peer.next_index = max(lowered, peer.match_index + 1, 1)
--- a/banyantrack/replication/replica.py
+++ b/banyantrack/replication/replica.py
@@ -89,6 +89,8 @@
         self._synced_index = storage.log.last_index
         self._term_start_index = 0
         self._handing_over = False
+        self._sync_started_s: float | None = None
+        self._last_syncs_s = (0.0, 0.0)
         self._stood_at = float('-inf')
         self._peers: dict[str, peers.PeerProgress] = {}
         self._proposals = proposals_module.Proposals()
@@ -597,8 +599,25 @@
         self._storage.log.truncate_from(index)
         self._memberships.truncate_from(index)
 
+    @property
+    def sync_s(self) -> float:
+        """Seconds that the disk takes now; the longer of the last two syncs.
+
+        A sync in progress counts as far as it has come.
+        """
+        running_s = 0.0
+        if self._sync_started_s is not None:
+            running_s = clock.steady_s() - self._sync_started_s
+        return max(running_s, min(self._last_syncs_s))
+
     async def _sync(self) -> None:
-        await self._run_blocking(self._storage.log.sync)
+        self._sync_started_s = started_s = clock.steady_s()
+        try:
+            await self._run_blocking(self._storage.log.sync)
+        finally:
+            self._sync_started_s = None
+            took_s = clock.steady_s() - started_s
+            self._last_syncs_s = (self._last_syncs_s[1], took_s)
 
     async def _write_loop(self) -> None:
         while True:
