--- /dev/null
+++ b/banyantrack/testing/platform_system.py
@@ -0,0 +1,255 @@
+"""Real daemons on loopback with the platform's interface, and executors.
+
+Each control member has an address of its own on loopback, since the
+platform gives the same ports to all hosts.
+"""
+
+from __future__ import annotations
+
+import contextlib
+import hashlib
+import json
+import pathlib
+import random
+import typing
+
+import curio
+
+from banyantrack.testing import fake_executor
+from banyantrack.testing import system
+from banyantrack.transport import http_client
+
+if typing.TYPE_CHECKING:
+    import collections.abc
+
+POOL = 'line'
+HOST = 'jobs.example'
+KEY = 'growers-key'
+CALL_TIMEOUT_S = 4.0
+DEFAULT_CONFIG: dict[str, typing.Any] = {
+    'version': 1,
+    'routes': [
+        {
+            'name': name,
+            'host': HOST,
+            'pathPrefix': f'/{name}/',
+            'type': 'unsafe',
+            'timeoutMs': 3000,
+            'latencySloMs': 1000,
+            'priority': priority,
+            'service': POOL,
+            'attempts': 5,
+            'stretch': 3.0,
+            'public': False,
+        }
+        for priority, name in enumerate(('urgent', 'usual', 'patient'))
+    ],
+    'services': [
+        {
+            'name': POOL,
+            'healthPath': '/health',
+            'maxConns': 64,
+            'protocol': 'h1',
+            'tls': False,
+            'rejectsOverload': False,
+            'spare': False,
+        }
+    ],
+    'limits': {},
+    'tenants': [
+        {'name': 'growers', 'apiKeys': [KEY], 'guaranteed': {'gpu': 8}}
+    ],
+}
+
+
+class PlatformSystem:
+    """Control members, one entry and executors.
+
+    Args:
+        folder: Where everything lies.
+        control: How many control members.
+        executors: How many executors.
+        seed: Seed of failures and late orders.
+        late: Share of orders that executors carry out late.
+    """
+
+    def __init__(
+        self,
+        folder: pathlib.Path,
+        *,
+        control: int = 3,
+        executors: int = 4,
+        seed: int = 1,
+        late: float = 0.0,
+    ) -> None:
+        ports = system.free_ports(5 + executors)
+        rpc, http, platform, front, ready = ports[:5]
+        hosts = [f'127.0.0.{11 + number}' for number in range(control)]
+        self._seeds = [f'{host}:{platform}' for host in hosts]
+        digest = hashlib.sha256(b'token').hexdigest()
+        tokens = [{'name': 't', 'sha256': digest, 'role': 'operator'}]
+        self.control = [
+            system.Process(
+                f'c{number + 1}',
+                'banyantrack.cli.control',
+                folder,
+                {
+                    'name': f'c{number + 1}',
+                    'zone': 'z1',
+                    'rpc_address': f'{host}:{rpc}',
+                    'http_address': f'{host}:{http}',
+                    'data_folder': str(folder / f'c{number + 1}'),
+                    'tokens': tokens,
+                    'platform': {
+                        'address': f'{host}:{platform}',
+                        'seeds': self._seeds,
+                        'first_start': True,
+                        'tolerated_losses': control // 2,
+                    },
+                },
+            )
+            for number, host in enumerate(hosts)
+        ]
+        self.entry = system.Process(
+            'e1',
+            'banyantrack.cli.entry',
+            folder,
+            {
+                'name': 'e1',
+                'zone': 'z1',
+                'rpc_address': f'127.0.0.31:{rpc}',
+                'http_address': f'127.0.0.31:{http}',
+                'tokens': tokens,
+                'platform': {
+                    'address': f'127.0.0.31:{front}',
+                    'readiness_address': f'127.0.0.31:{ready}',
+                    'seeds': self._seeds,
+                    'control_rpc_port': rpc,
+                },
+            },
+        )
+        self.front = f'127.0.0.31:{front}'
+        self.ready = f'127.0.0.31:{ready}'
+        self.observer = fake_executor.Observer()
+        self.rng = random.Random(seed)
+        self.executors = [
+            fake_executor.FakeExecutor(
+                f'i-{number}',
+                f'127.0.0.41:{port}',
+                POOL,
+                self._seeds,
+                self.observer,
+                rng=self.rng,
+                late=late,
+                rack=f'r{1 + number % 2}',
+            )
+            for number, port in enumerate(ports[5:])
+        ]
+
+    @property
+    def processes(self) -> list[system.Process]:
+        """All daemons."""
+        return [*self.control, self.entry]
+
+    @contextlib.asynccontextmanager
+    async def running(
+        self, config: dict[str, typing.Any] | None = None
+    ) -> collections.abc.AsyncIterator[PlatformSystem]:
+        """Runs everything, with a configuration in force."""
+        try:
+            for process in self.processes:
+                process.start()
+            await self.put_config(config or DEFAULT_CONFIG)
+            for executor in self.executors:
+                await executor.open()
+            await system.wait_for(self._is_ready, 'readiness')
+            yield self
+        finally:
+            for process in self.processes:
+                process.kill()
+
+    def log_text(self) -> str:
+        """Returns what all daemons have logged."""
+        return ''.join(p.log.read_text() for p in self.processes)
+
+    async def call(
+        self,
+        method: str,
+        path: str,
+        body: typing.Any = None,
+        *,
+        key: str = KEY,
+        address: str = '',
+        host: str = HOST,
+    ) -> tuple[int, dict[str, typing.Any]]:
+        """Makes one call; status 0 if there was no answer."""
+        client = http_client.HttpClient(address or self.front)
+        headers = [('authorization', f'Token {key}')] if key else []
+        data = body if isinstance(body, bytes) else json.dumps(body).encode()
+        try:
+            answer = await client.request(
+                method,
+                path,
+                headers=headers,
+                body=b'' if body is None else data,
+                timeout_s=CALL_TIMEOUT_S,
+                host=host,
+            )
+        except http_client.HttpError:
+            return 0, {}
+        finally:
+            await client.close()
+        if answer.status == 307:
+            location = answer.header('location').removeprefix('http://')
+            address, _, rest = location.partition('/')
+            return await self.call(
+                method, f'/{rest}', body, key=key, address=address
+            )
+        return answer.status, json.loads(answer.body or b'{}')
+
+    async def operator(
+        self, method: str, path: str, body: typing.Any = None
+    ) -> tuple[int, dict[str, typing.Any]]:
+        """Makes an operator's call; goes on to other members on failure."""
+        for turn in range(60):
+            address = self._seeds[turn % len(self._seeds)]
+            status, values = await self.call(
+                method, path, body, address=address
+            )
+            if status not in (0, 503):
+                return status, values
+            await curio.sleep(0.2)
+        raise TimeoutError(f'{method} {path}: no clear answer')
+
+    async def put_config(self, config: typing.Any) -> int:
+        """Sends a configuration; returns the status."""
+        return (await self.operator('PUT', '/v1/config', config))[0]
+
+    async def submit(
+        self, queue: str, job_id: str, *steps: dict, **values: typing.Any
+    ) -> int:
+        """Hands a job in; returns the status."""
+        spec = json.dumps(values.pop('behaviour', {'ms': 150}))
+        body = {'spec': spec, 'steps': list(steps), **values}
+        return (await self.call('POST', f'/{queue}/{job_id}', body))[0]
+
+    async def state(self, queue: str, job_id: str) -> str:
+        """Returns the state of a job, empty without an answer."""
+        _, values = await self.call('GET', f'/{queue}/{job_id}')
+        return values.get('state', '')
+
+    async def wait_state(
+        self, queue: str, job_id: str, state: str, *, timeout_s: float = 20
+    ) -> None:
+        """Waits until a job has a state."""
+
+        async def reached() -> bool:
+            return await self.state(queue, job_id) == state
+
+        await system.wait_for(
+            reached, f'{job_id} {state}', timeout_s=timeout_s
+        )
+
+    async def _is_ready(self) -> bool:
+        status, _ = await self.call('GET', '/', address=self.ready)
+        return status == 200
--- /dev/null
+++ b/banyantrack/tests/test_platform.py
@@ -0,0 +1,176 @@
+"""The platform's interface on real processes, with stand-in executors."""
+
+from __future__ import annotations
+
+import copy
+import pathlib
+import tempfile
+import typing
+
+import curio
+import testtools
+
+from banyantrack.testing import platform_system
+
+if typing.TYPE_CHECKING:
+    import collections.abc
+
+    Act = collections.abc.Callable[
+        [platform_system.PlatformSystem],
+        collections.abc.Awaitable[None],
+    ]
+
+SMALL = {'count': 1, 'gpu': 1, 'estimatedMs': 150}
+
+
+class PlatformTest(testtools.TestCase):
+    def run_with(self, act: Act, **options: typing.Any) -> None:
+        async def main(folder: str) -> None:
+            made = platform_system.PlatformSystem(
+                pathlib.Path(folder), **options
+            )
+            async with made.running():
+                await act(made)
+            self.assertEqual([], made.observer.broken)
+            self.assertNotIn('Traceback', made.log_text())
+
+        with tempfile.TemporaryDirectory() as folder:
+            curio.run(main, folder)
+
+
+class TestCalls(PlatformTest):
+    def test_jobs_run_and_calls_are_answered(self) -> None:
+        async def act(made: platform_system.PlatformSystem) -> None:
+            one, two, three = 'a' * 16, 'b' * 16, 'c' * 16
+            self.assertEqual(200, await made.submit('usual', one, SMALL))
+            self.assertEqual(200, await made.submit('usual', one, SMALL))
+            steps = (
+                {'count': 3, 'gpu': 2, 'estimatedMs': 150},
+                {'count': 2, 'gpu': 1, 'dependsOn': [0]},
+            )
+            self.assertEqual(200, await made.submit('patient', two, *steps))
+            gang = {'count': 3, 'gpu': 8, 'gang': True, 'estimatedMs': 150}
+            behaviour = {'ms': 150, 'gang': 3, 'need': {'gpu': 8}}
+            self.assertEqual(
+                200,
+                await made.submit('urgent', three, gang, behaviour=behaviour),
+            )
+            for queue, job in (
+                ('usual', one),
+                ('patient', two),
+                ('urgent', three),
+            ):
+                await made.wait_state(queue, job, 'completed')
+            starts = made.observer.starts
+            self.assertEqual(1, sum(t.startswith(one) for t, _ in starts))
+            self.assertEqual([], made.observer.alone)
+            call = made.call
+            self.assertEqual(410, (await call('GET', f'/usual/{"f" * 16}'))[0])
+            self.assertEqual(404, (await call('GET', '/nothing/x'))[0])
+            self.assertEqual(
+                401, (await call('GET', f'/usual/{one}', key='other'))[0]
+            )
+            self.assertEqual(
+                (200, {'pending': 0}), await call('GET', '/usual/')
+            )
+            status, _ = await call('POST', f'/usual/{"d" * 16}', b'{"spec":')
+            self.assertEqual(400, status)
+
+        self.run_with(act)
+
+    def test_cancelled_job_stops(self) -> None:
+        async def act(made: platform_system.PlatformSystem) -> None:
+            job = 'a' * 16
+            await made.submit('usual', job, SMALL, behaviour={'ms': 60_000})
+            await made.wait_state('usual', job, 'running')
+            status, _ = await made.call('DELETE', f'/usual/{job}')
+            self.assertEqual(200, status)
+            self.assertEqual('cancelled', await made.state('usual', job))
+            for _ in range(100):
+                if not any(made.observer.live.values()):
+                    break
+                await curio.sleep(0.02)
+            self.assertEqual([], [r for r in made.observer.live.values() if r])
+
+        self.run_with(act)
+
+    def test_configurations(self) -> None:
+        async def act(made: platform_system.PlatformSystem) -> None:
+            newer = copy.deepcopy(platform_system.DEFAULT_CONFIG)
+            newer['version'] = 5
+            newer['routes'][0]['timeoutMs'] = 2500
+            self.assertEqual(200, await made.put_config(newer))
+            self.assertEqual(200, await made.put_config(newer))
+            other = copy.deepcopy(newer)
+            other['routes'] = other['routes'][:1]
+            self.assertEqual(200, await made.put_config(other))
+            held = (200, newer)
+            self.assertEqual(held, await made.operator('GET', '/v1/config'))
+            for change in _invalid(newer):
+                self.assertEqual(400, await made.put_config(change))
+            self.assertEqual(held, await made.operator('GET', '/v1/config'))
+            revoked = copy.deepcopy(newer)
+            revoked['version'] = 6
+            revoked['tenants'][0]['apiKeys'] = ['another']
+            self.assertEqual(200, await made.put_config(revoked))
+            status, _ = await made.call('GET', '/usual/')
+            self.assertEqual(401, status)
+
+        self.run_with(act, executors=0)
+
+
+def _invalid(valid: dict) -> collections.abc.Iterator[typing.Any]:
+    """Yields configurations that must be refused, of higher versions."""
+    yield b'{"version": 9, "routes": ['
+    for number in range(5):
+        change = copy.deepcopy(valid)
+        change['version'] = 10 + number
+        routes = change['routes']
+        if number == 0:
+            routes[0]['service'] = 'unknown'
+        elif number == 1:
+            routes[1]['pathPrefix'] = routes[0]['pathPrefix']
+        elif number == 2:
+            routes[0]['timeoutMs'] = 0
+        elif number == 3:
+            change['tenants'].append(
+                {'name': 'x', 'apiKeys': [platform_system.KEY]}
+            )
+        else:
+            change['version'] = 'ten'
+        yield change
+
+
+class TestFailures(PlatformTest):
+    def test_leader_killed_and_orders_late(self) -> None:
+        async def act(made: platform_system.PlatformSystem) -> None:
+            jobs = [f'{number:016x}' for number in range(8)]
+            gang = {'count': 2, 'gpu': 4, 'gang': True, 'checkpointable': True}
+            for number, job in enumerate(jobs):
+                behaviour = {'ms': 1500, 'need': {'gpu': 4}}
+                if number % 2:
+                    behaviour['gang'] = 2
+                    step = gang
+                else:
+                    step = {'count': 2, 'gpu': 4, 'estimatedMs': 1500}
+                await made.submit('usual', job, step, behaviour=behaviour)
+            await curio.sleep(0.5)
+            for process in made.control:
+                if 'event=leader_elected' in process.log.read_text():
+                    process.kill()
+            for job in jobs:
+                await made.wait_state('usual', job, 'completed', timeout_s=60)
+
+        self.run_with(act, late=0.05, seed=3)
+
+    def test_executor_restarts_under_its_id(self) -> None:
+        async def act(made: platform_system.PlatformSystem) -> None:
+            job = 'a' * 16
+            many = {'count': 6, 'gpu': 4, 'estimatedMs': 1000}
+            behaviour = {'ms': 1000, 'need': {'gpu': 4}}
+            await made.submit('usual', job, many, behaviour=behaviour)
+            await made.wait_state('usual', job, 'running')
+            await made.executors[0].restart()
+            await made.wait_state('usual', job, 'completed', timeout_s=40)
+
+        self.run_with(act)
--- a/banyantrack/transport/http_client.py
+++ b/banyantrack/transport/http_client.py
@@ -70,9 +70,18 @@
         headers: typing.Sequence[tuple[str, str]] = (),
         body: bytes = b'',
         timeout_s: float = 10.0,
+        host: str = '',
     ) -> Answer:
         """Sends one request and reads the whole answer.
 
+        Args:
+            method: The method.
+            target: Path and query.
+            headers: Headers besides `Host` and `Content-Length`.
+            body: The body.
+            timeout_s: Seconds until the request is given up.
+            host: Host that is named; the address if it is empty.
+
         Raises:
             HttpError: If no whole answer came in time.
         """
@@ -81,6 +90,7 @@
             async with curio.timeout_after(timeout_s):
                 connection = await self._connect(timeout_s)
                 sent = True
+                headers = [('host', host or self._address), *headers]
                 await self._send(connection, method, target, headers, body)
                 answer = await self._receive(connection)
         except curio.TaskTimeout:
@@ -130,7 +140,6 @@
                 method=method,
                 target=target,
                 headers=[
-                    ('host', self._address),
                     ('content-length', str(len(body))),
                     *headers,
                 ],
