--- a/banyantrack/cli/operator.py
+++ b/banyantrack/cli/operator.py
@@ -20,6 +20,7 @@
 from banyantrack.core import registry
 from banyantrack.core import states
 from banyantrack.intent import objects
+from banyantrack.report import explain
 
 if typing.TYPE_CHECKING:
     import collections.abc
@@ -147,6 +148,11 @@
         shown.add_argument(
             '-o', '--output', choices=('table', 'json'), default='table'
         )
+    story = commands.add_parser(
+        'explain', help='tell the story of a request or job from logs'
+    )
+    story.add_argument('id', metavar='ID', help='id of a request or a job')
+    story.add_argument('logs', nargs='+', type=pathlib.Path, metavar='LOG')
     shell = commands.add_parser(
         'completion', help='print a completion script for bash'
     )
@@ -167,6 +173,10 @@
     if options.command == 'completion':
         print(completion.bash(build_parser()))
         return Exit.DONE
+    if options.command == 'explain':
+        story = explain.explain(options.id, options.logs)
+        print(explain.render(options.id, story))
+        return Exit.DONE if story.lines else Exit.REFUSED
     try:
         return COMMANDS.get(options.command)(_client(options), options)
     except _RefusedError as error:
--- a/banyantrack/core/logs.py
+++ b/banyantrack/core/logs.py
@@ -2,10 +2,14 @@
 
 from __future__ import annotations
 
+import collections
 import datetime
 import json
 import logging
+import os
 import re
+import select
+import sys
 import typing
 
 from pythonjsonlogger import core
@@ -15,6 +19,10 @@
 if typing.TYPE_CHECKING:
     from banyantrack.generated.settings import ttypes as settings
 
+# Lines of one event in a second; further ones are counted only.
+LINES_PER_S = 200
+# Lines that wait for a reader that is slow; further ones are dropped.
+BUFFER_BYTES = 256 * 1024
 _PLAIN = re.compile(r'[A-Za-z0-9_./:+-]+')
 _PAIR = re.compile(
     r'(?P<key>[A-Za-z0-9_.-]+)=(?P<value>"(?:[^"\\]|\\.)*"|[^\s"=]+)(?: |$)'
@@ -140,6 +148,112 @@
         logger.log(level, name, extra={_VALUES: values})
 
 
+class Budget:
+    """Bounds the lines of each event in each second.
+
+    What is worse than information has a bound of its own, so that a flood of
+    successes never hides a failure.
+    """
+
+    def __init__(self) -> None:
+        self._second = 0
+        self._written: dict[tuple[bool, str], int] = {}
+        self._left_out: dict[str, int] = {}
+
+    def admit(self, name: str, level: int, now_s: float) -> bool:
+        """Whether a line may be written now.
+
+        Args:
+            name: Name of the event.
+            level: Its severity.
+            now_s: Time in seconds.
+        """
+        if int(now_s) != self._second:
+            self._second = int(now_s)
+            self._written.clear()
+        key = (level > logging.INFO, name)
+        count = self._written.get(key, 0)
+        if count >= LINES_PER_S:
+            self._left_out[name] = self._left_out.get(name, 0) + 1
+            return False
+        self._written[key] = count + 1
+        return True
+
+    def take_left_out(self, now_s: float) -> dict[str, int]:
+        """Returns what was left out in seconds that are over, by event."""
+        if int(now_s) == self._second or not self._left_out:
+            return {}
+        left_out, self._left_out = self._left_out, {}
+        return left_out
+
+
+class OutputHandler(logging.Handler):
+    """Writes lines to a descriptor without ever waiting for its reader.
+
+    Args:
+        descriptor: Where to write.
+    """
+
+    def __init__(self, descriptor: int) -> None:
+        super().__init__()
+        self._descriptor = descriptor
+        self._poll = select.poll()
+        self._poll.register(descriptor, select.POLLOUT)
+        self._lines: collections.deque[bytes] = collections.deque()
+        self._size = 0
+        self._dropped = 0
+        self._budget = Budget()
+
+    @property
+    def dropped(self) -> int:
+        """Lines that were dropped because nobody read them."""
+        return self._dropped
+
+    def emit(self, record: logging.LogRecord) -> None:
+        """Writes a record, or keeps it until there is room."""
+        try:
+            now_s = record.created
+            left_out = self._budget.take_left_out(now_s)
+            for name, count in left_out.items():
+                self._add_event('lines_left_out', of=name, lines=count)
+            if self._budget.admit(record.getMessage(), record.levelno, now_s):
+                self._add(self.format(record))
+            self.flush()
+        except Exception:
+            self.handleError(record)
+
+    def flush(self) -> None:
+        """Writes what can be written now."""
+        while self._lines and self._writable():
+            line = self._lines.popleft()
+            # A pipe that is writable takes this much without waiting.
+            written = os.write(self._descriptor, line[: select.PIPE_BUF])
+            self._size -= written
+            if written < len(line):
+                self._lines.appendleft(line[written:])
+            elif self._dropped and not self._lines:
+                dropped, self._dropped = self._dropped, 0
+                self._add_event('lines_dropped', lines=dropped)
+
+    def _writable(self) -> bool:
+        return any(state & select.POLLOUT for _, state in self._poll.poll(0))
+
+    def _add(self, line: str) -> None:
+        data = line.encode('utf-8', 'backslashreplace') + b'\n'
+        if self._size + len(data) > BUFFER_BYTES:
+            self._dropped += 1
+            return
+        self._lines.append(data)
+        self._size += len(data)
+
+    def _add_event(self, name: str, **values: object) -> None:
+        record = logging.LogRecord(
+            __name__, logging.WARNING, '', 0, name, None, None
+        )
+        setattr(record, _VALUES, values)
+        self._add(self.format(record))
+
+
 def configure(settings: settings.LoggingSettings) -> None:
     """Sets up the root logger.
 
@@ -152,7 +266,7 @@
     if settings.file:
         handler = logging.FileHandler(settings.file, encoding='utf-8')
     else:
-        handler = logging.StreamHandler()
+        handler = OutputHandler(sys.stdout.fileno())
     handler.setFormatter(PairFormatter())
     # What no line shows need not be collected for each.
     logging.logThreads = False
--- a/banyantrack/daemons/job_gateway.py
+++ b/banyantrack/daemons/job_gateway.py
@@ -77,6 +77,7 @@
         self._prefix = f'{name}-{clock.now_ms():x}'
         self._leader = ''
         self._turn = 0
+        self._led_by = ''
         self._led_at_s = float('-inf')
         self._configured = False
         self._stopping = False
@@ -195,6 +196,19 @@
                 may_be_taken = may_be_taken or (error.sent and changes)
                 await curio.sleep(RETRY_S / 2)
                 continue
+            if address != self._led_by:
+                logs.event(
+                    _LOG,
+                    'leader_found',
+                    leader=address,
+                    before=self._led_by or None,
+                    silent_s=(
+                        clock.steady_s() - self._led_at_s
+                        if self._led_by
+                        else None
+                    ),
+                )
+                self._led_by = address
             self._leader = address
             self._led_at_s = clock.steady_s()
             self._configured = answer.verdict != ttypes.JobVerdict.NO_CONFIG
--- a/banyantrack/replication/elections.py
+++ b/banyantrack/replication/elections.py
@@ -38,6 +38,7 @@
         self._owner = owner
         self._timeout_s = self._draw_timeout()
         self._disk_checked_s = float('-inf')
+        self._tried_s = float('-inf')
 
     async def run(self) -> None:
         """Watches the time until cancelled."""
@@ -49,6 +50,7 @@
                 await self._check_disk()
             elif self._is_due():
                 self._timeout_s = self._draw_timeout()
+                self._tried_s = clock.steady_s()
                 await campaign(self._owner)
 
     def _draw_timeout(self) -> float:
@@ -58,8 +60,10 @@
     def _is_due(self) -> bool:
         if self._owner.role is states.Role.LEARNER:
             return False
-        silent_s = clock.steady_s() - self._owner.heard_at
-        return silent_s >= self._timeout_s
+        # An own try says nothing of the leader: a member that counted it as
+        # news would refuse its vote to others.
+        since_s = max(self._owner.heard_at, self._tried_s)
+        return clock.steady_s() - since_s >= self._timeout_s
 
     async def _check_disk(self) -> None:
         """Leaves the lead to a member whose disk is not as slow."""
@@ -105,7 +109,6 @@
         owner: The member.
         hand_over: Whether the leader asked for it.
     """
-    owner.hear_leader()
     if not hand_over and not await _ask(owner, pre_vote=True):
         return
     if owner.is_leader:
--- a/banyantrack/replication/joining.py
+++ b/banyantrack/replication/joining.py
@@ -48,8 +48,7 @@
     """Whether no leader sends to a member that should be a learner.
 
     The entry that made it a learner may have been replaced by another
-    leader, which then knows nothing of it. A member that was a voter and
-    was removed only asks again where members come and go by themselves.
+    leader, which then knows nothing of it.
     """
     if owner.storage.is_empty and not owner.membership.voters:
         return True
@@ -57,13 +56,11 @@
     learners = {member.member_id for member in owner.membership.learners}
     silent_s = clock.steady_s() - owner.heard_at
     limit_s = SILENT_TIMEOUTS * owner.options.election_timeout_s
-    if silent_s <= limit_s:
+    if silent_s <= limit_s or owner.is_leader:
         return False
-    if own_id in learners:
-        return True
-    return owner.options.target_voters > 0 and own_id not in (
-        quorum.voter_ids(owner.membership)
-    )
+    # Where members come and go by themselves, one that was removed while it
+    # was away still takes itself for a voter.
+    return own_id in learners or owner.options.target_voters > 0
 
 
 async def _ask(
--- a/banyantrack/replication/peers.py
+++ b/banyantrack/replication/peers.py
@@ -42,6 +42,7 @@
         'wanted_contact_at',
         'snapshot_offset',
         'refuses',
+        'reachable',
         '_signal',
     )
 
@@ -57,6 +58,7 @@
         self.snapshot_offset = 0
         # Whether it lately could not add entries that fit its log.
         self.refuses = False
+        self.reachable = True
         self._signal = signals.Signal()
 
     async def wake(self) -> None:
@@ -126,14 +128,25 @@
         else:
             answered = await _send_entries(owner, peer, term, previous_term)
     except (rpc.TransportError, rpc.CallError) as error:
+        if peer.reachable:
+            peer.reachable = False
+            logs.event(
+                _LOG,
+                'peer_lost',
+                level=logging.WARNING,
+                peer=peer.member.member_id,
+                term=term,
+                error=error,
+            )
+        return False
+    if not peer.reachable:
+        peer.reachable = True
         logs.event(
             _LOG,
-            'peer_unreachable',
-            level=logging.DEBUG,
+            'peer_regained',
             peer=peer.member.member_id,
-            error=error,
+            silent_s=clock.steady_s() - peer.contact_at,
         )
-        return False
     if answered:
         peer.contact_at = max(peer.contact_at, sent_at)
         await owner.advance_commit()
--- a/banyantrack/testing/platform_system.py
+++ b/banyantrack/testing/platform_system.py
@@ -9,6 +9,7 @@
 import contextlib
 import hashlib
 import json
+import os
 import pathlib
 import random
 import typing
@@ -84,7 +85,9 @@
     ) -> None:
         ports = system.free_ports(5 + executors)
         rpc, http, platform, front, ready = ports[:5]
-        hosts = [f'127.0.0.{11 + number}' for number in range(control)]
+        # Tests of several processes must not meet on one address.
+        net = f'127.{1 + os.getpid() // 250 % 250}.{os.getpid() % 250}'
+        hosts = [f'{net}.{11 + number}' for number in range(control)]
         self._seeds = [f'{host}:{platform}' for host in hosts]
         digest = hashlib.sha256(b'token').hexdigest()
         tokens = [{'name': 't', 'sha256': digest, 'role': 'operator'}]
@@ -117,25 +120,25 @@
             {
                 'name': 'e1',
                 'zone': 'z1',
-                'rpc_address': f'127.0.0.31:{rpc}',
-                'http_address': f'127.0.0.31:{http}',
+                'rpc_address': f'{net}.31:{rpc}',
+                'http_address': f'{net}.31:{http}',
                 'tokens': tokens,
                 'platform': {
-                    'address': f'127.0.0.31:{front}',
-                    'readiness_address': f'127.0.0.31:{ready}',
+                    'address': f'{net}.31:{front}',
+                    'readiness_address': f'{net}.31:{ready}',
                     'seeds': self._seeds,
                     'control_rpc_port': rpc,
                 },
             },
         )
-        self.front = f'127.0.0.31:{front}'
-        self.ready = f'127.0.0.31:{ready}'
+        self.front = f'{net}.31:{front}'
+        self.ready = f'{net}.31:{ready}'
         self.observer = fake_executor.Observer()
         self.rng = random.Random(seed)
         self.executors = [
             fake_executor.FakeExecutor(
                 f'i-{number}',
-                f'127.0.0.41:{port}',
+                f'{net}.41:{port}',
                 POOL,
                 self._seeds,
                 self.observer,
@@ -162,6 +165,7 @@
             await self.put_config(config or DEFAULT_CONFIG)
             for executor in self.executors:
                 await executor.open()
+            await system.wait_for(self._is_whole, 'all voters')
             await system.wait_for(self._is_ready, 'readiness')
             yield self
         finally:
@@ -250,6 +254,11 @@
             reached, f'{job_id} {state}', timeout_s=timeout_s
         )
 
+    async def _is_whole(self) -> bool:
+        # The member that formed the group needs no admission.
+        admitted = self.log_text().count('event=member_admitted')
+        return admitted >= len(self.control) - 1
+
     async def _is_ready(self) -> bool:
         status, _ = await self.call('GET', '/', address=self.ready)
         return status == 200
--- /dev/null
+++ b/banyantrack/tests/test_explain.py
@@ -0,0 +1,78 @@
+"""The story of a request, from logs alone."""
+
+from __future__ import annotations
+
+import pathlib
+import tempfile
+
+import testtools
+
+from banyantrack.report import explain
+
+STAMP = '2026-01-01T00:00:{:06.3f}+00:00'
+JOB = 'a' * 16
+
+
+def line(second: float, event: str, **pairs: object) -> str:
+    found = {'level': 'INFO', 'logger': 'x', 'event': event, **pairs}
+    rest = ' '.join(f'{key}={value}' for key, value in found.items())
+    return f'time={STAMP.format(second)} {rest}'
+
+
+class TestExplain(testtools.TestCase):
+    def explain(self, wanted: str, **texts: list[str]) -> explain.Story:
+        with tempfile.TemporaryDirectory() as folder:
+            paths = []
+            for name, lines in texts.items():
+                path = pathlib.Path(folder) / name
+                path.write_text('\n'.join(lines))
+                paths.append(path)
+            return explain.explain(wanted, paths)
+
+    def test_request_leads_to_the_runs_of_its_job(self) -> None:
+        story = self.explain(
+            'e1-1',
+            entry=[line(1, 'call', request='e1-1', path=f'/usual/{JOB}')],
+            control=[
+                line(9, 'run_ended', task=f'{JOB}.0.0.0', kind='failed'),
+                line(2, 'run_started', task=f'{JOB}.0.0.0', worker='w1'),
+                line(3, 'run_started', task=f'{"b" * 16}.0.0.0'),
+            ],
+        )
+        self.assertEqual(
+            ['call', 'run_started', 'run_ended'],
+            [found.pairs['event'] for found in story.lines],
+        )
+        self.assertEqual('failed', story.first_wrong.pairs['kind'])
+
+    def test_what_happened_to_its_worker_is_told(self) -> None:
+        story = self.explain(
+            JOB,
+            control=[
+                line(1, 'run_started', task=f'{JOB}.0.0.0', worker='w1'),
+                line(2, 'worker_silent', worker='w1'),
+                line(3, 'worker_silent', worker='w2'),
+                line(4, 'run_ended', task=f'{JOB}.0.0.0', kind='lost'),
+            ],
+        )
+        self.assertEqual('worker_silent', story.first_wrong.pairs['event'])
+        self.assertEqual(3, len(story.lines))
+
+    def test_gaps_are_told(self) -> None:
+        story = self.explain(
+            JOB,
+            control=[
+                line(1, 'call', path=JOB),
+                line(2, 'lines_dropped', lines=7),
+                line(3, 'call', path='"cut'),
+            ],
+        )
+        self.assertEqual(2, len(story.gaps))
+        missing = explain.explain(JOB, [pathlib.Path('not-there')])
+        self.assertIn('cannot be read', missing.gaps[0])
+        self.assertIn('no line names', explain.render(JOB, missing))
+
+    def test_lines_of_a_collector_name_their_process(self) -> None:
+        prefixed = '  1.5 core-1 ' + line(1, 'call', path=JOB)
+        story = self.explain(JOB, collected=[prefixed])
+        self.assertEqual('collected core-1', story.lines[0].source)
--- a/banyantrack/tests/test_logs.py
+++ b/banyantrack/tests/test_logs.py
@@ -4,6 +4,7 @@
 
 import io
 import logging
+import os
 
 import hypothesis
 from hypothesis import strategies
@@ -63,3 +64,55 @@
 
     def test_line_breaks_stay_in_the_line(self) -> None:
         self.assertEqual('a\nb', self._line(text='a\nb')['text'])
+
+
+class TestBudget(testtools.TestCase):
+    def test_flood_of_one_event_is_bounded_and_counted(self) -> None:
+        budget = logs.Budget()
+        admitted = [
+            budget.admit('call', logging.INFO, 100.0) for _ in range(500)
+        ]
+        self.assertEqual(logs.LINES_PER_S, sum(admitted))
+        self.assertEqual({}, budget.take_left_out(100.5))
+        self.assertTrue(budget.admit('call', logging.INFO, 101.0))
+        self.assertEqual(
+            {'call': 500 - logs.LINES_PER_S}, budget.take_left_out(102.0)
+        )
+
+    def test_failures_have_a_bound_of_their_own(self) -> None:
+        budget = logs.Budget()
+        for _ in range(500):
+            budget.admit('call', logging.INFO, 100.0)
+        self.assertTrue(budget.admit('call', logging.WARNING, 100.0))
+
+
+class TestOutput(testtools.TestCase):
+    def setUp(self) -> None:
+        super().setUp()
+        self.reader, writer = os.pipe()
+        self.addCleanup(os.close, self.reader)
+        self.addCleanup(os.close, writer)
+        self.handler = logs.OutputHandler(writer)
+        self.handler.setFormatter(logs.PairFormatter())
+
+    def emit(self, number: int) -> None:
+        record = logging.LogRecord(
+            'test', logging.INFO, '', 0, f'event{number}', None, None
+        )
+        self.handler.emit(record)
+
+    def test_reader_that_stops_reading_holds_nobody_up(self) -> None:
+        # Much more than a pipe and the buffer hold; would wait forever.
+        for number in range(20_000):
+            self.emit(number)
+        self.assertTrue(self.handler.dropped)
+
+    def test_lines_come_whole_once_they_are_read_again(self) -> None:
+        for number in range(20_000):
+            self.emit(number)
+        text = b''
+        while b'lines_dropped' not in text:
+            text += os.read(self.reader, 65536)
+            self.handler.flush()
+        for line in text.decode().splitlines():
+            logs.parse_line(line)
--- a/banyantrack/tests/test_platform.py
+++ b/banyantrack/tests/test_platform.py
@@ -10,6 +10,7 @@
 import curio
 import testtools
 
+from banyantrack.report import explain
 from banyantrack.testing import platform_system
 
 if typing.TYPE_CHECKING:
@@ -29,8 +30,13 @@
             made = platform_system.PlatformSystem(
                 pathlib.Path(folder), **options
             )
-            async with made.running():
-                await act(made)
+            try:
+                async with made.running():
+                    await act(made)
+            except BaseException:
+                # The folder goes with the test; its logs tell the cause.
+                print(made.log_text())
+                raise
             self.assertEqual([], made.observer.broken)
             self.assertNotIn('Traceback', made.log_text())
 
@@ -174,3 +180,62 @@
             await made.wait_state('usual', job, 'completed', timeout_s=40)
 
         self.run_with(act)
+
+
+class TestExplaining(PlatformTest):
+    """Each kind of failure is found from its id with `explain` only."""
+
+    def story(
+        self, made: platform_system.PlatformSystem, wanted: str
+    ) -> explain.Story:
+        return explain.explain(wanted, [p.log for p in made.processes])
+
+    def test_job_that_fails_everywhere(self) -> None:
+        async def act(made: platform_system.PlatformSystem) -> None:
+            job = 'a' * 16
+            behaviour = {'ms': 50, 'fail': 1.0}
+            await made.submit('usual', job, SMALL, behaviour=behaviour)
+            await made.wait_state('usual', job, 'failed')
+            story = self.story(made, job)
+            self.assertEqual('failed', story.first_wrong.pairs['kind'])
+            ends = [
+                line.pairs
+                for line in story.lines
+                if line.pairs['event'] == 'run_ended'
+            ]
+            self.assertEqual(5, len(ends))
+            self.assertLess(1, len({pairs['worker'] for pairs in ends}))
+
+        self.run_with(act)
+
+    def test_call_around_a_lost_leader(self) -> None:
+        async def act(made: platform_system.PlatformSystem) -> None:
+            for process in made.control:
+                if 'event=leader_elected' in process.log.read_text():
+                    process.kill()
+            job = 'a' * 16
+            # As a client does: again, until there is a clear answer.
+            for _ in range(5):
+                if await made.submit('usual', job, SMALL) == 200:
+                    break
+            await made.wait_state('usual', job, 'completed')
+            events = [
+                line.pairs['event'] for line in self.story(made, job).lines
+            ]
+            self.assertIn('leader_elected', events)
+            self.assertIn('call', events)
+
+        self.run_with(act)
+
+    def test_job_refused_for_its_key(self) -> None:
+        async def act(made: platform_system.PlatformSystem) -> None:
+            job = 'a' * 16
+            status, _ = await made.call(
+                'POST', f'/usual/{job}', {'steps': [SMALL]}, key='other'
+            )
+            self.assertEqual(401, status)
+            wrong = self.story(made, job).first_wrong
+            self.assertEqual('BAD_KEY', wrong.pairs['verdict'])
+            self.assertIn('config', wrong.pairs)
+
+        self.run_with(act, executors=0)
--- /dev/null
+++ b/banyantrack/tests/test_replication_group.py
@@ -0,0 +1,165 @@
+"""A group that forms, fails over and replaces members by itself."""
+
+from __future__ import annotations
+
+import dataclasses
+import pathlib
+import random
+import tempfile
+import typing
+
+import curio
+import testtools
+
+from banyantrack.core import clock
+from banyantrack.core import codec
+from banyantrack.generated.intent import ttypes
+from banyantrack.intent import state
+from banyantrack.replication import errors
+from banyantrack.replication import peers
+from banyantrack.testing import fake_group
+from banyantrack.testing import virtual
+
+if typing.TYPE_CHECKING:
+    import collections.abc
+
+    Act = collections.abc.Callable[
+        [list[fake_group.FakeMember], fake_group.FakeNetwork],
+        collections.abc.Awaitable[typing.Any],
+    ]
+
+GROWING = dataclasses.replace(fake_group.OPTIONS, target_voters=3)
+
+
+def _leader(
+    members: list[fake_group.FakeMember],
+) -> fake_group.FakeMember | None:
+    for member in members:
+        if member.running and member.replica.ready:
+            return member
+    return None
+
+
+async def _wait(condition: typing.Callable[[], typing.Any]) -> float:
+    """Waits for a condition; returns after how many seconds it held."""
+    started_s = clock.steady_s()
+    while not condition():
+        if clock.steady_s() - started_s > 60:
+            raise TimeoutError('60 s')
+        await curio.sleep(0.01)
+    return clock.steady_s() - started_s
+
+
+def _voters(members: list[fake_group.FakeMember]) -> set[str]:
+    leader = _leader(members)
+    if leader is None or leader.replica.membership.outgoing:
+        return set()
+    return {m.name for m in leader.replica.membership.voters}
+
+
+class TestGroup(testtools.TestCase):
+    def run_group(self, act: Act, *, seed: int = 1, size: int = 4) -> None:
+        async def main(folder: str) -> typing.Any:
+            rng = random.Random(seed)
+            network = fake_group.FakeNetwork(rng)
+            names = [f'm{number}' for number in range(size)]
+            members = [
+                fake_group.FakeMember(
+                    name,
+                    pathlib.Path(folder) / name,
+                    network,
+                    state.IntentState,
+                    contacts=[fake_group.address_of(n) for n in names],
+                    rng=rng,
+                    options=GROWING,
+                )
+                for name in names
+            ]
+            await members[0].start(bootstrap=True)
+            for member in members[1:]:
+                await member.start()
+            await _wait(lambda: len(_voters(members)) == 3)
+            # Until the last change has reached everyone, its old set counts.
+            await curio.sleep(1)
+            try:
+                return await act(members, network)
+            finally:
+                for member in members:
+                    await member.stop()
+
+        with tempfile.TemporaryDirectory() as folder:
+            return virtual.run(main, folder)
+
+    def test_members_become_voters_up_to_the_size(self) -> None:
+        async def act(members: typing.Any, _: typing.Any) -> None:
+            await curio.sleep(2)
+            self.assertEqual(3, len(_voters(members)))
+
+        self.run_group(act)
+
+    def test_silent_voter_gives_way_to_a_learner(self) -> None:
+        async def act(members: typing.Any, _: typing.Any) -> None:
+            voters = _voters(members)
+            lost = next(
+                member
+                for member in members
+                if member.name in voters and member is not _leader(members)
+            )
+            await lost.stop()
+            await curio.sleep(peers.REPLACE_SILENT_S / 2)
+            self.assertIn(lost.name, _voters(members))
+            await _wait(
+                lambda: _voters(members) and lost.name not in _voters(members)
+            )
+            self.assertEqual(3, len(_voters(members)))
+            # The lost one comes back, and a second one is lost for good.
+            await lost.start()
+            other = next(
+                member
+                for member in members
+                if member.name in _voters(members)
+                and member is not _leader(members)
+            )
+            await other.stop()
+            await _wait(lambda: lost.name in _voters(members))
+
+        self.run_group(act)
+
+    def test_fail_over_is_short(self) -> None:
+        # Members whose own tries counted as news of the leader refused each
+        # other their votes, one after the other, for seconds.
+        longest_s = 0.0
+        for seed in range(30):
+
+            async def act(members: typing.Any, _: typing.Any) -> float:
+                await _leader(members).stop()
+                return await _wait(lambda: _leader(members) is not None)
+
+            took_s = self.run_group(act, seed=seed, size=3)
+            longest_s = max(longest_s, took_s)
+        # One timeout, at most twice the shortest, and the rounds of votes.
+        limit_s = 3 * fake_group.OPTIONS.election_timeout_s
+        self.assertLess(longest_s, limit_s)
+
+    def test_leader_with_a_slow_disk_leaves_the_lead(self) -> None:
+        async def act(members: typing.Any, _: typing.Any) -> None:
+            slow = _leader(members)
+            slow.slow_disk = True
+            for _ in range(200):
+                leader = _leader(members)
+                if leader is not None and leader is not slow:
+                    return
+                if leader is slow:
+                    await leader.replica.spawn(_propose, leader)
+                await curio.sleep(0.05)
+            self.fail('the slow disk still leads')
+
+        self.run_group(act, size=3)
+
+
+async def _propose(member: fake_group.FakeMember) -> None:
+    command = codec.encode(ttypes.Command(now_ms=1))
+    try:
+        await member.replica.propose(command, timeout_s=1.0)
+    except errors.ReplicationError:
+        return
--- a/schema/settings.thrift
+++ b/schema/settings.thrift
@@ -50,7 +50,7 @@
 struct LoggingSettings {
   // Least severe level that is written.
   1: optional string level (default = "info", choices = "debug,info,warning,error")
-  // File to append to; empty for standard error.
+  // File to append to; empty for standard output.
   2: optional string file (default = "")
 }
 
