--- a/banyantrack/daemons/leadership.py
+++ b/banyantrack/daemons/leadership.py
@@ -8,6 +8,7 @@
 
 import curio
 
+from banyantrack.core import clock
 from banyantrack.core import codec
 from banyantrack.core import logs
 from banyantrack.core import signals
@@ -34,7 +35,7 @@
 
 def now_ms() -> int:
     """Returns the time in milliseconds since 1970."""
-    return int(time.time() * 1000)
+    return clock.now_ms()
 
 
 class Session:
--- a/banyantrack/testing/fake_executor.py
+++ b/banyantrack/testing/fake_executor.py
@@ -126,6 +126,8 @@
     ) -> None:
         self.name = name
         self.address = address
+        # Where it tells others to reach it.
+        self.advertised = address
         self.late = late
         self.state = 'ready'
         self._pool = pool
@@ -183,7 +185,7 @@
             body = wire.encode(
                 {
                     'service': self._pool,
-                    'address': self.address,
+                    'address': self.advertised,
                     'zone': 'z1',
                     'version': 'v1',
                     'slots': 8,
--- a/banyantrack/testing/virtual.py
+++ b/banyantrack/testing/virtual.py
@@ -35,6 +35,16 @@
         self._now_s += seconds
 
 
+class _Day:
+    """Time of day of a virtual clock."""
+
+    def __init__(self, clock: VirtualClock) -> None:
+        self._clock = clock
+
+    def now_s(self) -> float:
+        return self._clock.monotonic()
+
+
 class _VirtualSelector(selectors.DefaultSelector):
     """Advances a clock instead of waiting."""
 
@@ -62,6 +72,7 @@
         mock.patch.object(time, 'monotonic', clock.monotonic),
         mock.patch.object(time, 'time', clock.monotonic),
         mock.patch.object(clock_module, 'steady_s', clock.monotonic),
+        mock.patch.object(clock_module, '_day_time', _Day(clock)),
     ):
         yield
 
--- a/banyantrack/tests/test_core.py
+++ b/banyantrack/tests/test_core.py
@@ -2,8 +2,12 @@
 
 from __future__ import annotations
 
+import time
+from unittest import mock
+
 import testtools
 
+from banyantrack.core import clock
 from banyantrack.core import codec
 from banyantrack.core import findings
 from banyantrack.core import metrics
@@ -132,3 +136,34 @@
             return [await waiter.join(), await signal.wait_for(0.1)]
 
         self.assertEqual([True, False], virtual.run(run))
+
+
+class TestDayTime(testtools.TestCase):
+    def setUp(self) -> None:
+        super().setUp()
+        self.steady_s = 100.0
+        self.day_s = 1000.0
+        for patched in (
+            mock.patch.object(clock, 'steady_s', lambda: self.steady_s),
+            mock.patch.object(time, 'time', lambda: self.day_s),
+        ):
+            patched.start()
+            self.addCleanup(patched.stop)
+        self.made = clock.DayTime()
+
+    def advance(self, seconds: float, *, step_s: float = 0.0) -> float:
+        self.steady_s += seconds
+        self.day_s += seconds + step_s
+        return self.made.now_s()
+
+    def test_jump_and_back_is_not_followed(self) -> None:
+        self.assertEqual(1010.0, self.advance(10, step_s=2.4))
+        self.assertEqual(1020.0, self.advance(10))
+        self.assertEqual(1030.0, self.advance(10, step_s=-2.4))
+
+    def test_slow_correction_is_followed(self) -> None:
+        self.assertEqual(1010.05, self.advance(10, step_s=0.05))
+
+    def test_jump_that_lasts_is_followed(self) -> None:
+        self.advance(10, step_s=-5)
+        self.assertEqual(1000 + 81 - 5, self.advance(clock.ADOPT_S + 11))
--- a/banyantrack/tests/test_work_planner.py
+++ b/banyantrack/tests/test_work_planner.py
@@ -117,6 +117,12 @@
         starts = builders.plan(state, now_ms=due_ms + 1000).starts
         self.assertEqual([0, 1], [start.task.occurrence for start in starts])
 
+    def test_job_accepted_by_a_clock_that_was_ahead_does_not_wait(self):
+        state = builders.state(builders.worker('w1'))
+        ahead_ms = builders.NOW_MS + 2400
+        builders.submit(state, builders.job('a' * 16), now_ms=ahead_ms)
+        self.assertEqual(1, len(builders.plan(state).starts))
+
     def test_guaranteed_job_stops_urgent_work_that_borrows(self):
         state = builders.state(builders.worker('w1'), builders.worker('w2'))
         whole = builders.step(count=3, accelerators=8)
--- a/banyantrack/workload/units.py
+++ b/banyantrack/workload/units.py
@@ -116,8 +116,10 @@
         )
         for occurrence in range(layout.occurrences(job)):
             due_ms = occurrence_due_ms(record, occurrence)
-            if due_ms > now_ms:
+            if due_ms > now_ms and job.repeat_count > 0:
                 break
+            # Another leader's clock may have been ahead at the acceptance.
+            due_ms = min(due_ms, now_ms)
             for number, step in enumerate(job.steps):
                 key = layout.GroupKey(job.job_id, occurrence, number)
                 if blocked.get(key, 0) > now_ms:
