Stop runs that a later life of a worker was sent, before they run again

Now such runs count as alive until the later life has stopped or refused them. The stand-in let orders that were held back cross into a later life, which no connection does; they end with it.

--- a/banyantrack/daemons/work_leadership.py
+++ b/banyantrack/daemons/work_leadership.py
@@ -94,6 +94,7 @@
         self._approvals: dict[layout.GroupKey, planner_module.Approvals] = {}
         self._asking: set[layout.GroupKey] = set()
         self._advice_lock = curio.Lock()
+        self._strays: dict[layout.RunId, tuple[str, int, bool]] = {}
         self._gangs: dict[layout.GroupKey, tuple[int, float]] = {}
         self._failed_at: dict[str, list[float]] = {}
         self._at_work: dict[layout.TaskId, int] = {}
@@ -157,10 +158,10 @@
         await self._work.notify()
 
     def live_runs(
-        self, worker_id: str
+        self, worker_id: str, incarnation: int
     ) -> list[tuple[layout.TaskId, ttypes.TaskRecord]]:
         """Returns the runs that may be alive on a worker."""
-        return self._state.live_runs(worker_id)
+        return self._state.live_runs(worker_id, incarnation)
 
     def spec_of(self, job_id: str) -> str | None:
         """Returns what the tasks of a job are told."""
@@ -231,7 +232,6 @@
 
     async def _follow_workers(self) -> None:
         """Opens links to new workers and closes those to old ones."""
-        lost: list[ttypes.RunEnd] = []
         for worker_id, link in list(self._links.items()):
             worker = self._state.workers.get(worker_id)
             if (
@@ -240,6 +240,7 @@
                 and worker.address == link.record.address
             ):
                 continue
+            self._note_stray(link)
             await link.close()
             del self._links[worker_id]
         for worker in self._state.workers.values():
@@ -253,29 +254,58 @@
             )
             self._links[worker.worker_id] = link
             await link.open()
-        for record in self._state.active.values():
-            for key, task in layout.iterate(record):
-                if not task.worker_id:
-                    continue
-                worker = self._state.workers.get(task.worker_id)
-                if (
-                    worker is not None
-                    and worker.incarnation == task.incarnation
-                ):
-                    continue
-                lost.append(
-                    ttypes.RunEnd(
-                        task=layout.task_key(key),
-                        run=task.run,
-                        worker_id=task.worker_id,
-                        incarnation=task.incarnation,
-                        kind=ttypes.EndKind.LOST,
-                        checkpoint='',
-                    )
-                )
+        await self._fence_strays()
+        lost = [
+            ttypes.RunEnd(
+                task=layout.task_key(key),
+                run=task.run,
+                worker_id=task.worker_id,
+                incarnation=task.incarnation,
+                kind=ttypes.EndKind.LOST,
+                checkpoint='',
+            )
+            for record in self._state.active.values()
+            for key, task in layout.iterate(record)
+            if task.worker_id
+            and self._is_gone(task)
+            and layout.RunId(key, task.run) not in self._strays
+        ]
         if lost:
             await self.record_ends(lost)
 
+    def _is_gone(self, task: ttypes.TaskRecord) -> bool:
+        """Whether the incarnation that a run was sent to is over."""
+        worker = self._state.workers.get(task.worker_id)
+        return worker is None or worker.incarnation != task.incarnation
+
+    def _note_stray(self, link: worker_link.WorkerLink) -> None:
+        """Notes runs that a later incarnation may have been sent."""
+        worker_id = link.record.worker_id
+        worker = self._state.workers.get(worker_id)
+        if worker is None or worker.address != link.record.address:
+            return
+        for key, task in self._state.live_runs(
+            worker_id, link.record.incarnation
+        ):
+            if link.may_have_reached_another(key, task.run):
+                run_id = layout.RunId(key, task.run)
+                self._strays[run_id] = (worker_id, worker.incarnation, False)
+
+    async def _fence_strays(self) -> None:
+        """Makes later incarnations stop such runs before they run again."""
+        for run_id, (worker_id, incarnation, sent) in list(
+            self._strays.items()
+        ):
+            link = self._links.get(worker_id)
+            if link is None or link.record.incarnation != incarnation:
+                # That incarnation is over, too.
+                del self._strays[run_id]
+            elif not sent:
+                await link.stop(*run_id)
+                self._strays[run_id] = (worker_id, incarnation, True)
+            elif run_id not in link.stopping:
+                del self._strays[run_id]
+
     # Rounds.
 
     def _usable(self, worker: ttypes.WorkerRecord) -> bool:
--- a/banyantrack/daemons/worker_link.py
+++ b/banyantrack/daemons/worker_link.py
@@ -60,7 +60,7 @@
         """Starts a round of planning soon."""
 
     def live_runs(
-        self, worker_id: str
+        self, worker_id: str, incarnation: int
     ) -> list[tuple[layout.TaskId, ttypes.TaskRecord]]:
         """Returns the runs that may be alive on a worker."""
 
@@ -155,6 +155,13 @@
             or (key, run) in self._stopping
         )
 
+    def may_have_reached_another(self, key: layout.TaskId, run: int) -> bool:
+        """Whether a later incarnation may have carried out a run's start.
+
+        It answers at the same address, and under the same id.
+        """
+        return (key, run) in self._sent and (key, run) not in self._confirmed
+
     def is_confirmed(self, key: layout.TaskId, run: int) -> bool:
         """Whether the worker said that a run has started."""
         return (key, run) in self._confirmed
@@ -204,6 +211,11 @@
         """Makes the link look whether the worker runs anything."""
         await self._wake.notify()
 
+    def _live_runs(self) -> list[tuple[layout.TaskId, ttypes.TaskRecord]]:
+        return self._owner.live_runs(
+            self._record.worker_id, self._record.incarnation
+        )
+
     async def _order(self, order: _Order) -> None:
         self._orders.append(order)
         await self._ordered.notify()
@@ -243,7 +255,7 @@
             if (
                 self._reconciled
                 and not self._stopping
-                and not self._owner.live_runs(self._record.worker_id)
+                and not self._live_runs()
             ):
                 self._forget()
                 await self._wake.wait_for(self._lease_ms / 1000)
@@ -309,7 +321,7 @@
         listed = {(r.key, r.run) for r in held.running}
         listed |= {(e.key, e.run) for e in held.ended}
         known = set()
-        for key, task in self._owner.live_runs(self._record.worker_id):
+        for key, task in self._live_runs():
             run = (key, task.run)
             known.add(run)
             if run in listed:
@@ -338,7 +350,9 @@
             run = (layout.task_id(end.task), end.run)
             self._drop(run)
         for run in list(self._stopping):
-            if run not in known and run not in listed:
+            fenced_s = self._fenced.get(run)
+            settled = fenced_s is not None and fenced_s < sent_s
+            if settled and run not in known and run not in listed:
                 self._drop(run)
         self._reconciled = True
         if ends or first:
@@ -405,7 +419,7 @@
         self._answered = False
         if not self._surely_lapsed():
             return
-        lost = self._owner.live_runs(self._record.worker_id)
+        lost = self._live_runs()
         if not lost:
             return
         logs.event(
@@ -495,6 +509,10 @@
         if ordered.reason is Reason.FENCED:
             await self._owner.fenced(self._record.worker_id)
             return
+        if ordered.reason is Reason.OTHER_INCARNATION:
+            # It may run there; the link to that incarnation finds out.
+            self._answered = False
+            return
         if ordered.reason is Reason.UNHEALTHY:
             self._unhealthy_until_s = clock.steady_s() + UNHEALTHY_S
         if run in self._unanswered:
--- a/banyantrack/testing/fake_executor.py
+++ b/banyantrack/testing/fake_executor.py
@@ -243,8 +243,11 @@
     async def _carry_out_late(
         self, target: str, body: dict, delay_s: float
     ) -> None:
+        life = self._born
         await curio.sleep(delay_s)
-        await self._carry_out(target, body)
+        # What a process has taken in and not carried out ends with it.
+        if self._born == life:
+            await self._carry_out(target, body)
 
     async def _carry_out(
         self, target: str, body: dict
--- a/banyantrack/testing/fault_proxy.py
+++ b/banyantrack/testing/fault_proxy.py
@@ -62,7 +62,7 @@
         """Resets the connections that are open now."""
         for sock in list(self._open):
             sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET)
-            sock.shutdown(socket.SHUT_RDWR)
+            await sock.shutdown(socket.SHUT_RDWR)
 
     async def _serve(self, client: io.Socket) -> None:
         if self.mode is Mode.RESET:
--- a/banyantrack/workload/state.py
+++ b/banyantrack/workload/state.py
@@ -79,14 +79,14 @@
         return None if record is None else layout.find_task(record, key)
 
     def live_runs(
-        self, worker_id: str
+        self, worker_id: str, incarnation: int
     ) -> list[tuple[layout.TaskId, ttypes.TaskRecord]]:
-        """Returns the runs that may be alive on a worker."""
+        """Returns the runs that may be alive on one life of a worker."""
         return [
             (key, task)
             for record in self._active.values()
             for key, task in layout.iterate(record)
-            if task.worker_id == worker_id
+            if task.worker_id == worker_id and task.incarnation == incarnation
         ]
 
     def apply(self, command: ttypes.WorkCommand, now_ms: int) -> typing.Any:
