--- a/banyantrack/testing/fake_executor.py
+++ b/banyantrack/testing/fake_executor.py
@@ -59,7 +59,7 @@
     Attributes:
         broken: What happened that must not.
         starts: Task and run of each start.
-        done: Tasks that have ended well.
+        done: Tasks that have ended well, as somebody has noted.
         present: Live members of each gang's run.
     """
 
@@ -71,6 +71,7 @@
         self.live: dict[str, set[tuple[str, int]]] = {}
         self.present: dict[tuple[str, int], set[str]] = {}
         self.ended: dict[tuple[str, int], str] = {}
+        self._starts_at_end: dict[tuple[str, int], int] = {}
 
     def started(self, executor: str, run: Run) -> None:
         """Notes a start."""
@@ -88,13 +89,23 @@
         """Notes an end."""
         self.live.get(run.task, set()).discard((executor, run.run))
         if how == 'done':
-            self.done.add(run.task)
+            self._starts_at_end[run.task, run.run] = len(self.starts)
         if how == 'alone':
             self.alone.append(run.task)
         if run.gang:
             self.present.get((run.group, run.run), set()).discard(run.task)
             self.ended.setdefault((run.group, run.run), how)
 
+    def noted(self, task: str, run: int) -> None:
+        """Notes that a good end was taken note of.
+
+        An end that nobody noted binds nobody: its executor may be gone.
+        """
+        self.done.add(task)
+        since = self._starts_at_end[task, run]
+        if any(other == task for other, _ in self.starts[since:]):
+            self.broken.append(f'{task} started after run {run} was done')
+
 
 class FakeExecutor:
     """One executor.
@@ -309,6 +320,9 @@
 
     async def _hold(self, body: dict) -> tuple[int, dict[str, typing.Any]]:
         noted = body.get('lastSeen', 0)
+        for number, task, run, how, _ in self._ends:
+            if number <= noted and how == 'done':
+                self._observer.noted(task, run)
         self._ends = [end for end in self._ends if end[0] > noted]
         until_s = time.monotonic() + body.get('waitMs', 0) / 1000
         while not self._ends and time.monotonic() < until_s:
