--- a/banyantrack/daemons/work_api.py
+++ b/banyantrack/daemons/work_api.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import copy
 import enum
 import logging
 import typing
@@ -302,7 +303,7 @@
                 and request.leaving_incarnation != known.incarnation
             ):
                 return
-            gone = ttypes.WorkerRecord(**_fields(known))
+            gone = copy.copy(known)
             gone.state = ttypes.WorkerState.GONE
             await self._record_worker(gone)
             return
@@ -356,10 +357,6 @@
         )
 
 
-def _fields(worker: ttypes.WorkerRecord) -> dict[str, typing.Any]:
-    return {name: getattr(worker, name) for name in worker.__slots__}
-
-
 def _answer(
     verdict: int, *, state: int = 0, pending: int = 0
 ) -> ttypes.JobAnswer:
--- a/banyantrack/daemons/work_leadership.py
+++ b/banyantrack/daemons/work_leadership.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import copy
 import logging
 import time
 import typing
@@ -152,6 +153,23 @@
         self._ended = True
         await self._replica.step_down()
 
+    async def replaced(self, worker: ttypes.WorkerRecord) -> None:
+        """Notes that a worker's address belongs to another one now."""
+        known = self._state.workers.get(worker.worker_id)
+        if known is None or known.incarnation != worker.incarnation:
+            return
+        logs.event(
+            _LOG,
+            'worker_replaced',
+            level=logging.WARNING,
+            worker=worker.worker_id,
+            address=worker.address,
+        )
+        gone = copy.copy(known)
+        gone.state = ttypes.WorkerState.GONE
+        await self._try_propose(ttypes.WorkCommand(workers=[gone]))
+        await self.changed()
+
     async def changed(self) -> None:
         """Starts a round of planning soon."""
         self._dirty = True
--- a/banyantrack/daemons/worker_link.py
+++ b/banyantrack/daemons/worker_link.py
@@ -56,6 +56,9 @@
     async def fenced(self, worker_id: str) -> None:
         """Notes that a worker knows a higher token."""
 
+    async def replaced(self, worker: ttypes.WorkerRecord) -> None:
+        """Notes that a worker's address belongs to another one now."""
+
     async def changed(self) -> None:
         """Starts a round of planning soon."""
 
@@ -292,6 +295,10 @@
             await self._owner.fenced(self._record.worker_id)
             await curio.sleep(RETRY_S)
             return
+        if held.reason is Reason.REPLACED:
+            await self._owner.replaced(self._record)
+            await curio.sleep(RETRY_S)
+            return
         if held.reason is not Reason.DONE:
             logs.event(
                 _LOG,
@@ -513,6 +520,9 @@
             # It may run there; the link to that incarnation finds out.
             self._answered = False
             return
+        if ordered.reason is Reason.REPLACED:
+            await self._owner.replaced(self._record)
+            return
         if ordered.reason is Reason.UNHEALTHY:
             self._unhealthy_until_s = clock.steady_s() + UNHEALTHY_S
         if run in self._unanswered:
--- a/banyantrack/platform/workers.py
+++ b/banyantrack/platform/workers.py
@@ -61,7 +61,7 @@
     if answer.status == 409 and body is not None:
         return CONFLICTS.get(body.text('reason'), Reason.INVALID)
     if answer.status == 421:
-        return Reason.OTHER_INCARNATION
+        return Reason.REPLACED
     if answer.status in (429, 503):
         return Reason.UNHEALTHY
     return Reason.INVALID
@@ -191,7 +191,8 @@
         self, answer: http_client.Answer, body: wire.Fields | None
     ) -> Reason:
         """Returns the outcome, if it is one of the right incarnation."""
-        if body is not None and 'born' in body:
+        # An answer of 421 names the life of whoever has the address now.
+        if answer.status != 421 and body is not None and 'born' in body:
             born = body.integer('born')
             if self._worker.incarnation and born != self._worker.incarnation:
                 return Reason.OTHER_INCARNATION
--- a/banyantrack/testing/platform_system.py
+++ b/banyantrack/testing/platform_system.py
@@ -88,7 +88,7 @@
         # Tests of several processes must not meet on one address.
         net = f'127.{1 + os.getpid() // 250 % 250}.{os.getpid() % 250}'
         hosts = [f'{net}.{11 + number}' for number in range(control)]
-        self._seeds = [f'{host}:{platform}' for host in hosts]
+        self.seeds = [f'{host}:{platform}' for host in hosts]
         digest = hashlib.sha256(b'token').hexdigest()
         tokens = [{'name': 't', 'sha256': digest, 'role': 'operator'}]
         self.control = [
@@ -105,7 +105,7 @@
                     'tokens': tokens,
                     'platform': {
                         'address': f'{host}:{platform}',
-                        'seeds': self._seeds,
+                        'seeds': self.seeds,
                         'first_start': True,
                         'tolerated_losses': control // 2,
                     },
@@ -126,7 +126,7 @@
                 'platform': {
                     'address': f'{net}.31:{front}',
                     'readiness_address': f'{net}.31:{ready}',
-                    'seeds': self._seeds,
+                    'seeds': self.seeds,
                     'control_rpc_port': rpc,
                 },
             },
@@ -140,7 +140,7 @@
                 f'i-{number}',
                 f'{net}.41:{port}',
                 POOL,
-                self._seeds,
+                self.seeds,
                 self.observer,
                 rng=self.rng,
                 late=late,
@@ -216,7 +216,7 @@
     ) -> tuple[int, dict[str, typing.Any]]:
         """Makes an operator's call; goes on to other members on failure."""
         for turn in range(60):
-            address = self._seeds[turn % len(self._seeds)]
+            address = self.seeds[turn % len(self.seeds)]
             status, values = await self.call(
                 method, path, body, address=address
             )
--- a/banyantrack/tests/test_platform.py
+++ b/banyantrack/tests/test_platform.py
@@ -11,6 +11,7 @@
 import testtools
 
 from banyantrack.report import explain
+from banyantrack.testing import fake_executor
 from banyantrack.testing import platform_system
 
 if typing.TYPE_CHECKING:
@@ -169,6 +170,29 @@
 
         self.run_with(act, late=0.05, seed=3)
 
+    def test_address_that_another_executor_has_now(self) -> None:
+        # Found on our day late-grants: a start without an answer kept its
+        # task for 18 s, though another executor had the address.
+        async def act(made: platform_system.PlatformSystem) -> None:
+            first = made.executors[0]
+            first.late = 1.0
+            job = 'a' * 16
+            await made.submit('usual', job, SMALL)
+            await curio.sleep(0.3)
+            await first.crash()
+            second = fake_executor.FakeExecutor(
+                'i-next',
+                first.address,
+                platform_system.POOL,
+                made.seeds,
+                made.observer,
+                rng=made.rng,
+            )
+            await second.open()
+            await made.wait_state('usual', job, 'completed', timeout_s=10)
+
+        self.run_with(act, executors=1)
+
     def test_executor_restarts_under_its_id(self) -> None:
         async def act(made: platform_system.PlatformSystem) -> None:
             job = 'a' * 16
--- a/banyantrack/workload/port.py
+++ b/banyantrack/workload/port.py
@@ -39,7 +39,10 @@
     LATE = 'late'
     NO_ROOM = 'no-room'
     BAD_TICKET = 'bad-ticket'
+    # A later life under the same id answered; it may have done it.
     OTHER_INCARNATION = 'other-incarnation'
+    # Another worker has the address now; nothing was done.
+    REPLACED = 'replaced'
     # The worker is unhealthy and has done nothing.
     UNHEALTHY = 'unhealthy'
     INVALID = 'invalid'
