--- a/banyantrack/daemons/work_leadership.py
+++ b/banyantrack/daemons/work_leadership.py
@@ -21,6 +21,7 @@
 from banyantrack.workload import pacing
 from banyantrack.workload import planner as planner_module
 from banyantrack.workload import port as port_module
+from banyantrack.workload import progress
 from banyantrack.workload import room as room_module
 from banyantrack.workload import state as state_module
 from banyantrack.workload import waves as waves_module
@@ -49,6 +50,10 @@
 UPKEEP_RETRY_S = 0.5
 # A worker on which runs failed is used after others for this long.
 AVOID_S = 20.0
+# Percent at which tasks start.
+FULL_PACE = 100
+# Failures that a worker which has become slow counts for.
+SLOW_PENALTY = 3.0
 _LOG = logging.getLogger(__name__)
 _Commands = typing.Callable[
     [ttypes.WorkCommand], 'collections.abc.Awaitable[typing.Any]'
@@ -89,6 +94,8 @@
             state, self._durations, remote_factor=options.remote_factor
         )
         self._pacer = pacing.Pacer()
+        self._paces: dict[layout.RunId, int] = {}
+        self._progress = progress.ProgressWatch()
         self._work = signals.Signal()
         self._dirty = True
         self._blocked: dict[layout.GroupKey, float] = {}
@@ -201,6 +208,15 @@
 
     def progress(self, worker_id: str, held: port_module.Held) -> None:
         """Takes in what a worker says of its runs."""
+        now_s = clock.steady_s()
+        self._progress.observe(
+            worker_id,
+            {
+                layout.RunId(running.key, running.run): running.percent
+                for running in held.running
+            },
+            now_s,
+        )
         worst = 0.0
         for running in held.running:
             self._at_work[running.key] = running.percent
@@ -210,7 +226,8 @@
             step = record.job.steps[running.key.step]
             if step.target_ms > 0:
                 worst = max(worst, running.usage / step.target_ms)
-        if self._pacer.observe(worker_id, worst, clock.steady_s()):
+        if self._pacer.observe(worker_id, worst, now_s):
+            # Taken up by the next round.
             self._dirty = True
             logs.event(
                 _LOG,
@@ -331,9 +348,12 @@
         return link is not None and link.usable
 
     def _penalty(self, worker_id: str) -> float:
-        since_s = clock.steady_s() - AVOID_S
+        now_s = clock.steady_s()
         failed = self._failed_at.get(worker_id, ())
-        return float(sum(1 for at_s in failed if at_s > since_s))
+        recent = sum(1 for at_s in failed if at_s > now_s - AVOID_S)
+        if self._progress.is_slow(worker_id, now_s):
+            return recent + SLOW_PENALTY
+        return float(recent)
 
     def _stopping(self) -> set[layout.RunId]:
         found: set[layout.RunId] = set()
@@ -345,6 +365,7 @@
         started_s = time.monotonic()
         await self._stop_unwanted()
         await self._send_unsent()
+        await self._send_paces()
         stopping = self._stopping()
         fleet = room_module.Fleet(
             self._state,
@@ -413,6 +434,26 @@
                 await link.start(start)
         self._metrics.counter('banyan_runs_placed').add(len(starts))
 
+    async def _send_paces(self) -> None:
+        """Tells workers the paces of the filling tasks that run there."""
+        alive: set[layout.RunId] = set()
+        for record in list(self._state.active.values()):
+            for key, task in layout.iterate(record):
+                step = record.job.steps[key.step]
+                link = self._links.get(task.worker_id)
+                if not step.fills or link is None:
+                    continue
+                run_id = layout.RunId(key, task.run)
+                alive.add(run_id)
+                percent = self._pacer.percent(task.worker_id)
+                if not link.is_confirmed(key, task.run):
+                    continue
+                if self._paces.get(run_id, FULL_PACE) != percent:
+                    self._paces[run_id] = percent
+                    await link.pace(key, task.run, percent)
+        for run_id in self._paces.keys() - alive:
+            del self._paces[run_id]
+
     async def _send_unsent(self) -> None:
         """Sends runs whose record was agreed after we gave up waiting."""
         for record in list(self._state.active.values()):
--- a/banyantrack/daemons/worker_link.py
+++ b/banyantrack/daemons/worker_link.py
@@ -573,5 +573,6 @@
             )
         except port_module.NoAnswerError:
             await curio.sleep(RETRY_S)
+            await self.pace(key, run, percent)
             return
         self.note_clock(ordered.clock_ms)
--- a/banyantrack/testing/fake_executor.py
+++ b/banyantrack/testing/fake_executor.py
@@ -141,6 +141,9 @@
         self.advertised = address
         self.late = late
         self.state = 'ready'
+        # Usage or tail that is told of tasks, and paces that were asked for.
+        self.usage: dict[str, int] = {}
+        self.paces: dict[str, int] = {}
         self._pool = pool
         self._control = list(control)
         self._observer = observer
@@ -274,9 +277,12 @@
             return self._start(body)
         if target == '/v1/run-stop':
             return self._stop(body)
+        if target == '/v1/pace':
+            self.paces[body['task']] = body['percent']
+            return 200, {}
         if target == '/v1/hold':
             return await self._hold(body)
-        return 200, {}
+        return 400, {}
 
     def _start(self, body: dict) -> tuple[int, dict[str, typing.Any]]:
         task, number = body['task'], body['runId']
@@ -328,7 +334,13 @@
         while not self._ends and time.monotonic() < until_s:
             await curio.sleep(TICK_S)
         running = [
-            [run.task, run.run, self._saved(run), self._percent(run), 1000]
+            [
+                run.task,
+                run.run,
+                self._saved(run),
+                self._percent(run),
+                self.usage.get(run.task, 1000),
+            ]
             for run in self._runs.values()
         ]
         return 200, {'running': running, 'finished': list(self._ends)}
--- a/banyantrack/tests/test_platform.py
+++ b/banyantrack/tests/test_platform.py
@@ -101,6 +101,35 @@
 
         self.run_with(act)
 
+    def test_filling_tasks_are_held_back_beside_serving_ones(self) -> None:
+        async def act(made: platform_system.PlatformSystem) -> None:
+            serving, filling = 'a' * 16, 'b' * 16
+            executor = made.executors[0]
+            executor.usage[f'{serving}.0.0.0'] = 95
+            lasting = {'count': 1, 'gpu': 1, 'longRunning': True}
+            slow = {'ms': 600_000}
+            await made.submit(
+                'usual', serving, {**lasting, 'targetMs': 100}, behaviour=slow
+            )
+            await made.wait_state('usual', serving, 'running')
+            await made.submit(
+                'patient', filling, {**lasting, 'fills': True}, behaviour=slow
+            )
+            task = f'{filling}.0.0.0'
+            for _ in range(200):
+                if executor.paces.get(task) == 0:
+                    break
+                await curio.sleep(0.02)
+            self.assertEqual(0, executor.paces.get(task))
+            executor.usage[f'{serving}.0.0.0'] = 20
+            for _ in range(400):
+                if executor.paces[task] > 0:
+                    break
+                await curio.sleep(0.02)
+            self.assertLess(0, executor.paces[task])
+
+        self.run_with(act, executors=1)
+
     def test_configurations(self) -> None:
         async def act(made: platform_system.PlatformSystem) -> None:
             newer = copy.deepcopy(platform_system.DEFAULT_CONFIG)
--- /dev/null
+++ b/banyantrack/tests/test_work_progress.py
@@ -0,0 +1,134 @@
+"""Slow workers, durations, pacing and waves, without a network."""
+
+from __future__ import annotations
+
+import testtools
+
+from banyantrack.generated.workload import ttypes
+from banyantrack.testing import work_builders as builders
+from banyantrack.workload import durations
+from banyantrack.workload import layout
+from banyantrack.workload import pacing
+from banyantrack.workload import progress
+from banyantrack.workload import room
+from banyantrack.workload import waves
+
+
+def run_id(index: int) -> layout.RunId:
+    return layout.RunId(layout.TaskId('a' * 16, 0, 0, index), 1)
+
+
+class TestProgress(testtools.TestCase):
+    def test_worker_whose_runs_stand_still_is_slow(self) -> None:
+        watch = progress.ProgressWatch()
+        for second, percent in enumerate((0, 10, 20, 20)):
+            watch.observe('w1', {run_id(0): percent}, float(second))
+        self.assertTrue(watch.is_slow('w1', 3.0))
+        self.assertFalse(watch.is_slow('w1', 3.0 + progress.SLOW_S))
+
+    def test_one_slow_run_of_several_is_its_own_fault(self) -> None:
+        watch = progress.ProgressWatch()
+        for second in range(4):
+            percents = {run_id(n): 10 * second for n in range(3)}
+            percents[run_id(0)] = min(10 * second, 20)
+            watch.observe('w1', percents, float(second))
+        self.assertFalse(watch.is_slow('w1', 3.0))
+
+    def test_even_pace_is_not_slow(self) -> None:
+        watch = progress.ProgressWatch()
+        for second in range(8):
+            watch.observe('w1', {run_id(0): second}, float(second))
+        self.assertFalse(watch.is_slow('w1', 7.0))
+
+
+class TestDurations(testtools.TestCase):
+    def learned(self, declared: list[int], seen: list[int]) -> float:
+        made = durations.LearnedDurations()
+        state = builders.state()
+        builders.submit(state, builders.job('a' * 16))
+        record = state.jobs['a' * 16]
+        for estimate, observed in zip(declared, seen, strict=True):
+            step = builders.step(estimated_ms=estimate)
+            made.observe(record, step, observed)
+        return made.expected_ms(record, builders.step(estimated_ms=500))
+
+    def test_estimates_that_are_noise_give_way_to_the_usual(self) -> None:
+        declared = [200, 8000, 400, 9000, 300, 7000] * 10
+        expected = self.learned(declared, [2000] * 60)
+        self.assertTrue(1500 < expected < 2500, expected)
+
+    def test_estimates_that_hold_are_kept(self) -> None:
+        declared = [200, 8000, 400, 9000, 300, 7000] * 10
+        expected = self.learned(declared, declared)
+        self.assertTrue(450 < expected < 550, expected)
+
+
+class TestPacing(testtools.TestCase):
+    def test_fillers_are_held_back_and_let_go_in_steps(self) -> None:
+        pacer = pacing.Pacer()
+        self.assertTrue(pacer.observe('w1', 0.9, 0.0))
+        self.assertEqual(0, pacer.percent('w1'))
+        self.assertFalse(pacer.observe('w1', 0.3, pacing.STEP_S / 2))
+        self.assertTrue(pacer.observe('w1', 0.3, pacing.STEP_S))
+        self.assertEqual(pacing.STEP_PERCENT, pacer.percent('w1'))
+
+
+class TestWaves(testtools.TestCase):
+    def plan(self, state, *, down=None, away=0) -> waves.WavePlan:
+        fleet = room.Fleet(
+            state,
+            stopping=(),
+            usable=lambda _: True,
+            penalty=lambda _: 0.0,
+        )
+        return waves.plan_waves(
+            state, fleet, down=down or {}, away=lambda _: away
+        )
+
+    def made(self, *, at_once: int = 1):
+        state = builders.state(builders.worker('w1'), builders.worker('w2'))
+        wave = ttypes.Wave(
+            number=1,
+            machines=['m-w1', 'm-w2'],
+            duration_s=20,
+            at_once=at_once,
+            accepted_ms=0,
+            begun=[],
+            state=ttypes.WaveState.RUNNING,
+        )
+        state.apply(ttypes.WorkCommand(wave=wave), builders.NOW_MS)
+        return state
+
+    def test_at_most_so_many_at_once(self) -> None:
+        state = self.made()
+        self.assertEqual(1, len(self.plan(state).begin))
+        self.assertEqual([], self.plan(state, down={'m-w1': 1}).begin)
+
+    def test_machine_is_emptied_first(self) -> None:
+        state = self.made(at_once=2)
+        builders.submit(state, builders.job('a' * 16))
+        run = builders.start(state, builders.plan(state))[0]
+        plan = self.plan(state)
+        self.assertEqual(
+            [run.worker_id], [s.task.worker_id for s in plan.stops]
+        )
+        self.assertEqual(1, len(plan.begin))
+
+    def test_allowed_absences_are_kept(self) -> None:
+        state = self.made(at_once=2)
+        lasting = builders.step(
+            count=2, accelerators=8, long_running=True, may_miss=1
+        )
+        builders.submit(state, builders.job('a' * 16, lasting))
+        builders.start(state, builders.plan(state))
+        self.assertEqual(1, len(self.plan(state).stops))
+        self.assertEqual([], self.plan(state, away=1).stops)
+
+    def test_wave_is_complete_once_all_have_begun(self) -> None:
+        state = self.made()
+        begun = [
+            ttypes.WaveBegun(number=1, machine=machine)
+            for machine in ('m-w1', 'm-w2')
+        ]
+        state.apply(ttypes.WorkCommand(begun=begun), builders.NOW_MS)
+        self.assertEqual([1], self.plan(state).completed)
