--- a/Makefile
+++ b/Makefile
@@ -5,9 +5,10 @@
 ARGS ?=
 SECONDS ?= 60
 SEED ?= 1
+SEEDS ?= 1
 PYTEST_ARGS ?= -n 4
 
-.PHONY: demo test lint format generate bench soak
+.PHONY: demo test lint format generate bench soak soak-platform
 
 $(STAMP): pyproject.toml constraints.txt
 	python3.11 -m venv $(VENV) 2>/dev/null || python3 -m venv $(VENV)
@@ -35,3 +36,6 @@
 
 soak: $(STAMP)
 	$(BIN)/python -m banyantrack.testing.soak --seconds $(SECONDS) --seed $(SEED)
+
+soak-platform: $(STAMP)
+	$(BIN)/python -m banyantrack.testing.platform_soak --seed $(SEED) --seeds $(SEEDS) --seconds $(SECONDS)
--- a/banyantrack/daemons/control_platform.py
+++ b/banyantrack/daemons/control_platform.py
@@ -70,9 +70,7 @@
             metrics,
         )
         self._api = work_api.WorkApi(replica, state, self._lead, pool)
-        self._server = control_server.ControlServer(
-            options.address, self._api, metrics
-        )
+        self._server = control_server.ControlServer(options.address, self._api)
 
     def register(self, server: rpc.RpcServer) -> None:
         """Makes an RPC server answer entries and other members."""
--- a/banyantrack/daemons/entry_platform.py
+++ b/banyantrack/daemons/entry_platform.py
@@ -14,6 +14,7 @@
 from banyantrack.daemons import job_gateway
 from banyantrack.membership import locator as locator_module
 from banyantrack.platform import entry_server
+from banyantrack.transport import http_server
 from banyantrack.transport import rpc
 
 if typing.TYPE_CHECKING:
@@ -69,12 +70,24 @@
             options.address,
             options.readiness_address,
             self._gateway,
-            self._metrics,
         )
+        # The ports of the platform differ from day to day; metrics are read
+        # at the address of the settings.
+        self._own = http_server.HttpServer(
+            settings.http_address, self._serve_own
+        )
+
+    async def _serve_own(self, request: http_server.Request) -> None:
+        if request.target != '/metrics':
+            await request.respond(404, [], b'')
+            return
+        body = self._metrics.render().encode()
+        await request.respond(200, [(b'content-type', b'text/plain')], body)
 
     async def run(self, stop: curio.Event) -> None:
         """Serves until a stop is asked for."""
         await self._server.start()
+        await self._own.start()
         logs.event(
             _LOG,
             'started',
@@ -91,6 +104,7 @@
             if isinstance(task.exception, Exception):
                 raise task.exception
         await self._server.close()
+        await self._own.close()
         await self._pool.close()
         logs.event(_LOG, 'stopped', name=self._settings.name)
 
--- a/banyantrack/daemons/job_gateway.py
+++ b/banyantrack/daemons/job_gateway.py
@@ -81,6 +81,10 @@
         self._led_at_s = float('-inf')
         self._configured = False
         self._stopping = False
+        metrics.gauge('banyan_ready', lambda: float(self.serving))
+        metrics.gauge(
+            'banyan_leader_age_s', lambda: clock.steady_s() - self._led_at_s
+        )
 
     @property
     def serving(self) -> bool:
--- a/banyantrack/platform/control_server.py
+++ b/banyantrack/platform/control_server.py
@@ -17,14 +17,12 @@
 from banyantrack.transport import http_server
 
 if typing.TYPE_CHECKING:
-    from banyantrack.core import metrics as metrics_module
     from banyantrack.daemons import work_api
 
 CONFIG_PATH = '/v1/config'
 WORKER_PREFIX = '/v1/instances/'
 WAVE_START_PATH = '/v1/wave-start'
 WAVE_PREFIX = '/v1/wave-get/'
-METRICS_PATH = '/metrics'
 BODY_LIMIT_BYTES = 8 * 1024 * 1024
 _LOG = logging.getLogger(__name__)
 
@@ -35,18 +33,15 @@
     Args:
         address: `IP:PORT` to listen on.
         api: Answers what is asked.
-        metrics: Metrics of the process.
     """
 
     def __init__(
         self,
         address: str,
         api: work_api.WorkApi,
-        metrics: metrics_module.Metrics,
     ) -> None:
         self._address = address
         self._api = api
-        self._metrics = metrics
         self._server = http_server.HttpServer(address, self._serve)
 
     @property
@@ -89,11 +84,6 @@
             await self._start_wave(request)
         elif request.method == 'GET' and path.startswith(WAVE_PREFIX):
             await self._get_wave(request, path.removeprefix(WAVE_PREFIX))
-        elif call == ('GET', METRICS_PATH):
-            body = self._metrics.render().encode()
-            await request.respond(
-                200, [(b'content-type', b'text/plain')], body
-            )
         else:
             await _refuse(request, 404, f'got {request.method} {path}')
 
--- a/banyantrack/platform/entry_server.py
+++ b/banyantrack/platform/entry_server.py
@@ -15,11 +15,9 @@
 from banyantrack.transport import http_server
 
 if typing.TYPE_CHECKING:
-    from banyantrack.core import metrics as metrics_module
     from banyantrack.daemons import job_gateway
 
 READINESS_PATH = '/v1/readiness'
-METRICS_PATH = '/metrics'
 BODY_LIMIT_BYTES = 1024 * 1024
 # Deadline of callers that state none.
 DEFAULT_DEADLINE_MS = 3000
@@ -33,7 +31,6 @@
         address: `IP:PORT` for customers.
         readiness_address: `IP:PORT` for probes.
         gateway: Answers calls.
-        metrics: Metrics of the process.
     """
 
     def __init__(
@@ -41,10 +38,8 @@
         address: str,
         readiness_address: str,
         gateway: job_gateway.JobGateway,
-        metrics: metrics_module.Metrics,
     ) -> None:
         self._gateway = gateway
-        self._metrics = metrics
         self._callers = http_server.HttpServer(address, self._serve)
         self._probes = http_server.HttpServer(
             readiness_address, self._serve_probe
@@ -75,11 +70,8 @@
 
     async def _serve_probe(self, request: http_server.Request) -> None:
         path = urllib.parse.urlsplit(request.target).path
-        if path == METRICS_PATH:
-            body = self._metrics.render().encode()
-            await request.respond(
-                200, [(b'content-type', b'text/plain')], body
-            )
+        if path != READINESS_PATH:
+            await _answer(request, 404, {'error': f'got {path}'})
             return
         status = 200 if self._gateway.serving else 503
         await request.respond(status, wire.JSON_TYPE, b'{}')
--- a/banyantrack/testing/platform_system.py
+++ b/banyantrack/testing/platform_system.py
@@ -260,5 +260,5 @@
         return admitted >= len(self.control) - 1
 
     async def _is_ready(self) -> bool:
-        status, _ = await self.call('GET', '/', address=self.ready)
+        status, _ = await self.call('GET', '/v1/readiness', address=self.ready)
         return status == 200
--- a/banyantrack/tests/test_platform.py
+++ b/banyantrack/tests/test_platform.py
@@ -13,6 +13,7 @@
 from banyantrack.report import explain
 from banyantrack.testing import fake_executor
 from banyantrack.testing import platform_system
+from banyantrack.transport import http_client
 
 if typing.TYPE_CHECKING:
     import collections.abc
@@ -85,6 +86,17 @@
 
         self.run_with(act)
 
+    def test_metrics_of_all_daemons(self) -> None:
+        async def act(made: platform_system.PlatformSystem) -> None:
+            for process in made.processes:
+                client = http_client.HttpClient(process.http_address)
+                answer = await client.request('GET', '/metrics')
+                await client.close()
+                self.assertEqual(200, answer.status)
+                self.assertIn('banyan_', answer.body.decode())
+
+        self.run_with(act, executors=0)
+
     def test_cancelled_job_stops(self) -> None:
         async def act(made: platform_system.PlatformSystem) -> None:
             job = 'a' * 16
