--- a/banyantrack/replication/elections.py
+++ b/banyantrack/replication/elections.py
@@ -11,6 +11,7 @@
 from banyantrack.core import logs
 from banyantrack.core import states
 from banyantrack.generated.replication import ttypes
+from banyantrack.replication import errors
 from banyantrack.replication import quorum
 from banyantrack.transport import rpc
 
@@ -51,7 +52,7 @@
             elif self._is_due():
                 self._timeout_s = self._draw_timeout()
                 self._tried_s = clock.steady_s()
-                await campaign(self._owner)
+                await _campaign_if_possible(self._owner)
 
     def _draw_timeout(self) -> float:
         shortest_s = self._owner.options.election_timeout_s
@@ -66,8 +67,8 @@
         return clock.steady_s() - since_s >= self._timeout_s
 
     async def _check_disk(self) -> None:
-        """Leaves the lead to a member whose disk is not as slow."""
-        if self._owner.sync_s < SLOW_SYNC_S:
+        """Leaves the lead to a member whose disk is not as slow or full."""
+        if self._owner.sync_s < SLOW_SYNC_S and not self._owner.disk_full:
             return
         now_s = clock.steady_s()
         if now_s < self._disk_checked_s + SLOW_DISK_PAUSE_S:
@@ -75,7 +76,7 @@
         self._disk_checked_s = now_s
         logs.event(
             _LOG,
-            'disk_slow',
+            'disk_full' if self._owner.disk_full else 'disk_slow',
             level=logging.WARNING,
             term=self._owner.term,
             sync_s=self._owner.sync_s,
@@ -240,4 +241,14 @@
 
 
 async def _campaign_now(owner: replica.Replica) -> None:
-    await campaign(owner, hand_over=True)
+    await _campaign_if_possible(owner, hand_over=True)
+
+
+async def _campaign_if_possible(
+    owner: replica.Replica, *, hand_over: bool = False
+) -> None:
+    """Stands for election, unless the disk has no room for the vote."""
+    try:
+        await campaign(owner, hand_over=hand_over)
+    except errors.DiskFullError as error:
+        logs.event(_LOG, 'disk_full', level=logging.ERROR, error=error)
--- a/banyantrack/replication/files.py
+++ b/banyantrack/replication/files.py
@@ -4,6 +4,7 @@
 
 import collections.abc
 import dataclasses
+import errno
 import os
 import pathlib
 import struct
@@ -150,6 +151,7 @@
     """Replaces a file so that a crash leaves the old or the new one.
 
     Raises:
+        DiskFullError: If there is no room; the old one stands.
         StorageError: If it cannot be written.
     """
     fresh = path.with_name(path.name + '.new')
@@ -160,10 +162,17 @@
             sync_file(file.fileno())
         fresh.replace(path)
     except OSError as error:
-        raise errors.StorageError(f'{path}: {error}') from error
+        raise storage_error(path, error) from error
     sync_folder(path.parent)
 
 
+def storage_error(path: pathlib.Path, error: OSError) -> errors.StorageError:
+    """Returns the error that a failed write to a file stands for."""
+    if error.errno in (errno.ENOSPC, errno.EDQUOT):
+        return errors.DiskFullError(f'{path}: {error}')
+    return errors.StorageError(f'{path}: {error}')
+
+
 def write_struct(path: pathlib.Path, kind: bytes, struct: object) -> None:
     """Replaces a file that holds one struct.
 
--- a/banyantrack/replication/group.py
+++ b/banyantrack/replication/group.py
@@ -2,18 +2,23 @@
 
 from __future__ import annotations
 
+import logging
 import typing
 
 from banyantrack.core import errors
+from banyantrack.core import logs
 from banyantrack.generated.cluster import ttypes as cluster
 from banyantrack.generated.replication import ttypes
 from banyantrack.replication import elections
+from banyantrack.replication import errors as replication_errors
 from banyantrack.replication import joining
 from banyantrack.transport import rpc
 
 if typing.TYPE_CHECKING:
     from banyantrack.replication import replica
 
+_LOG = logging.getLogger(__name__)
+
 
 def register(server: rpc.RpcServer, member: replica.Replica) -> None:
     """Makes an RPC server answer the other members of a group.
@@ -50,6 +55,12 @@
     async def handle(request: typing.Any) -> typing.Any:
         try:
             return await handler(request)
+        except replication_errors.DiskFullError as error:
+            # What was there is intact; the member goes on without this.
+            logs.event(_LOG, 'disk_full', level=logging.ERROR, error=error)
+            raise rpc.CallError(
+                cluster.ErrorCode.UNAVAILABLE, str(error)
+            ) from error
         except errors.BanyanError as error:
             await member.fail(error)
             raise rpc.CallError(
--- a/banyantrack/replication/peers.py
+++ b/banyantrack/replication/peers.py
@@ -127,6 +127,9 @@
             answered = await _send_snapshot(owner, peer, term)
         else:
             answered = await _send_entries(owner, peer, term, previous_term)
+    except errors.DiskFullError as error:
+        logs.event(_LOG, 'disk_full', level=logging.ERROR, error=error)
+        return False
     except (rpc.TransportError, rpc.CallError) as error:
         if peer.reachable:
             peer.reachable = False
--- a/banyantrack/replication/replica.py
+++ b/banyantrack/replication/replica.py
@@ -41,6 +41,10 @@
 # Share of the election timeout for which a quorum's answer is a lease; the
 # rest allows for clocks that differ in speed.
 LEASE_SHARE = 0.9
+# A disk counts as full for this long after it had no room.
+DISK_FULL_S = 2.0
+# A snapshot that found no room is tried again after this.
+SNAPSHOT_RETRY_S = 5.0
 _LOG = logging.getLogger(__name__)
 _Kind = ttypes.EntryKind
 
@@ -91,6 +95,8 @@
         self._handing_over = False
         self._sync_started_s: float | None = None
         self._last_syncs_s = (0.0, 0.0)
+        self._full_at_s = float('-inf')
+        self._next_snapshot_s = float('-inf')
         self._stood_at = float('-inf')
         self._peers: dict[str, peers.PeerProgress] = {}
         self._proposals = proposals_module.Proposals()
@@ -523,22 +529,33 @@
         Args:
             term: The term; saved if it is new.
             leader: The leader, if it is known.
+
+        Raises:
+            DiskFullError: If there is no room for a new term.
         """
-        if term > self.term:
-            self.save_term(term, '')
         was_leader = self.is_leader
         self._role = states.Role.FOLLOWER
-        self._leader = leader
-        if was_leader:
-            self._heard_at = clock.steady_s()
-            await self._stop_leading()
+        self._leader = None
+        try:
+            if term > self.term:
+                self.save_term(term, '')
+            self._leader = leader
+        finally:
+            # Also where the new term cannot be saved: it has another leader.
+            if was_leader:
+                self._heard_at = clock.steady_s()
+                await self._stop_leading()
 
     def become_candidate(self) -> None:
-        """Stands for election in the next term, with its own vote."""
+        """Stands for election in the next term, with its own vote.
+
+        Raises:
+            DiskFullError: If there is no room for the vote.
+        """
+        self.save_term(self.term + 1, self._member.member_id)
         self._role = states.Role.CANDIDATE
         self._leader = None
         self._stood_at = clock.steady_s()
-        self.save_term(self.term + 1, self._member.member_id)
 
     async def become_leader(self) -> None:
         """Leads the term in which a quorum voted for this member."""
@@ -610,6 +627,11 @@
             running_s = clock.steady_s() - self._sync_started_s
         return max(running_s, min(self._last_syncs_s))
 
+    @property
+    def disk_full(self) -> bool:
+        """Whether entries could not be written for want of room of late."""
+        return clock.steady_s() - self._full_at_s < DISK_FULL_S
+
     async def _sync(self) -> None:
         self._sync_started_s = started_s = clock.steady_s()
         try:
@@ -673,6 +695,7 @@
         error: errors.DiskFullError,
     ) -> None:
         logs.event(_LOG, 'disk_full', level=logging.ERROR, error=error)
+        self._full_at_s = clock.steady_s()
         noop = any(proposal.kind == _Kind.NOOP for proposal in batch)
         for proposal in batch:
             await proposal.fail(errors.NotAppliedError(str(error)))
@@ -730,6 +753,8 @@
         since = self._applied_index - self._storage.snapshot_index
         if since < self._options.snapshot_entries:
             return
+        if clock.steady_s() < self._next_snapshot_s:
+            return
         index = self._applied_index
         data = self._machine.snapshot()
         header = ttypes.SnapshotHeader(
@@ -740,7 +765,12 @@
             version=storage_module.files.FORMAT_VERSION,
         )
         snapshot = storage_module.Snapshot(header, data)
-        await self._run_blocking(self._storage.save_snapshot, snapshot)
+        try:
+            await self._run_blocking(self._storage.save_snapshot, snapshot)
+        except errors.DiskFullError as error:
+            logs.event(_LOG, 'disk_full', level=logging.ERROR, error=error)
+            self._next_snapshot_s = clock.steady_s() + SNAPSHOT_RETRY_S
+            return
         async with self._log_lock:
             if self._storage.snapshot_index < index:
                 self._adopt_snapshot(header)
--- a/banyantrack/replication/storage.py
+++ b/banyantrack/replication/storage.py
@@ -170,10 +170,12 @@
         """Saves term and vote durably.
 
         Raises:
+            DiskFullError: If there is no room; the old ones stand.
             StorageError: If they cannot be saved.
         """
-        self._state = ttypes.HardState(term=term, voted_for=voted_for)
-        files.write_struct(self._folder / STATE_FILE, STATE_KIND, self._state)
+        state = ttypes.HardState(term=term, voted_for=voted_for)
+        files.write_struct(self._folder / STATE_FILE, STATE_KIND, state)
+        self._state = state
 
     def save_snapshot(self, snapshot: Snapshot) -> None:
         """Saves a snapshot durably; may run in another thread.
@@ -234,6 +236,9 @@
 
         Returns:
             Offset of the next piece.
+
+        Raises:
+            DiskFullError: If there is no room.
         """
         path = self._partial_path(header)
         for other in self._folder.glob(PARTIAL_FILE + '*'):
@@ -242,8 +247,11 @@
         size = self.partial_size(header)
         if offset != size:
             return size
-        with path.open('ab') as file:
-            file.write(chunk)
+        try:
+            with path.open('ab') as file:
+                file.write(chunk)
+        except OSError as error:
+            raise files.storage_error(path, error) from error
         return size + len(chunk)
 
     def install_partial(self, header: ttypes.SnapshotHeader) -> Snapshot:
--- a/banyantrack/replication/wal.py
+++ b/banyantrack/replication/wal.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import collections.abc
-import errno
 import os
 import pathlib
 import typing
@@ -255,11 +254,7 @@
         except OSError as error:
             os.ftruncate(self._descriptor, segment.size)
             os.lseek(self._descriptor, segment.size, os.SEEK_SET)
-            if error.errno in (errno.ENOSPC, errno.EDQUOT):
-                raise errors.DiskFullError(
-                    f'{segment.path}: {error}'
-                ) from error
-            raise errors.StorageError(f'{segment.path}: {error}') from error
+            raise files.storage_error(segment.path, error) from error
 
     def _writable(self, first_index: int) -> _Segment:
         if not self._segments:
--- a/banyantrack/testing/fake_group.py
+++ b/banyantrack/testing/fake_group.py
@@ -20,6 +20,7 @@
 from banyantrack.generated.replication import ttypes
 from banyantrack.replication import api
 from banyantrack.replication import elections
+from banyantrack.replication import errors
 from banyantrack.replication import joining
 from banyantrack.replication import replica as replica_module
 from banyantrack.replication import storage as storage_module
@@ -170,6 +171,11 @@
         self.machine: api.StateMachine | None = None
         network.attach(self.address, self)
 
+    @property
+    def folder(self) -> pathlib.Path:
+        """Its data folder."""
+        return self._folder
+
     @property
     def running(self) -> bool:
         """Whether it runs."""
@@ -279,6 +285,11 @@
                     return await member.receive_snapshot(request)
                 case ttypes.JoinRequest():
                     return await joining.receive_join(member, request)
+        except errors.DiskFullError as error:
+            # As `group.register` does.
+            raise rpc.CallError(
+                cluster.ErrorCode.UNAVAILABLE, str(error)
+            ) from error
         except Exception as error:
             await member.fail(error)
             raise rpc.CallError(
--- a/banyantrack/tests/test_replication_group.py
+++ b/banyantrack/tests/test_replication_group.py
@@ -7,6 +7,7 @@
 import random
 import tempfile
 import typing
+from unittest import mock
 
 import curio
 import testtools
@@ -16,6 +17,7 @@
 from banyantrack.generated.intent import ttypes
 from banyantrack.intent import state
 from banyantrack.replication import errors
+from banyantrack.replication import files
 from banyantrack.replication import peers
 from banyantrack.testing import fake_group
 from banyantrack.testing import virtual
@@ -156,6 +158,43 @@
 
         self.run_group(act, size=3)
 
+    def test_full_disks_end_nobody_and_lose_the_lead(self) -> None:
+        # Found on the grown colx-banyan, fresh-2ffa: a member whose disk had
+        # no room for its vote ended, again at each restart.
+        async def act(members: typing.Any, network: typing.Any) -> None:
+            full = _leader(members)
+            folder = pathlib.Path(full.folder)
+            write_struct = files.write_struct
+
+            def write(path: pathlib.Path, *args: typing.Any) -> None:
+                if path.parent == folder:
+                    raise errors.DiskFullError(f'{path}: no room')
+                write_struct(path, *args)
+
+            def append(_: typing.Any) -> None:
+                raise errors.DiskFullError('log: no room')
+
+            with (
+                mock.patch.object(files, 'write_struct', write),
+                mock.patch.object(full.replica.storage.log, 'append', append),
+            ):
+                await full.replica.spawn(_propose, full)
+                await _wait(lambda: _leader(members) not in (None, full))
+                # Cut off with it, the others come to terms that it cannot
+                # save, and it stands for elections in vain.
+                other = _leader(members)
+                await other.stop()
+                await curio.sleep(3)
+                self.assertTrue(full.running)
+                await other.start()
+                await _wait(lambda: _leader(members) not in (None, full))
+            last = _leader(members)
+            await _wait(
+                lambda: full.replica.commit_index == last.replica.commit_index
+            )
+
+        self.run_group(act, size=3)
+
 
 async def _propose(member: fake_group.FakeMember) -> None:
     command = codec.encode(ttypes.Command(now_ms=1))
