--- /dev/null
+++ b/banyantrack/daemons/work_session.py
@@ -0,0 +1,612 @@
+"""One time of leadership: plans rounds, orders runs, follows workers."""
+
+from __future__ import annotations
+
+import copy
+import logging
+import time
+import typing
+
+import curio
+
+from banyantrack.core import clock
+from banyantrack.core import logs
+from banyantrack.core import signals
+from banyantrack.daemons import advisor
+from banyantrack.daemons import upkeep
+from banyantrack.daemons import worker_link
+from banyantrack.generated.workload import ttypes
+from banyantrack.replication import errors as replication_errors
+from banyantrack.workload import durations as durations_module
+from banyantrack.workload import layout
+from banyantrack.workload import pacing
+from banyantrack.workload import planner as planner_module
+from banyantrack.workload import port as port_module
+from banyantrack.workload import progress
+from banyantrack.workload import room as room_module
+from banyantrack.workload import state as state_module
+
+if typing.TYPE_CHECKING:
+    import collections.abc
+
+    from banyantrack.core import metrics as metrics_module
+    from banyantrack.generated.settings import ttypes as settings
+    from banyantrack.replication import replica as replica_module
+
+PROPOSE_TIMEOUT_S = 3.0
+# Longest time between two rounds; due times are looked at as often.
+ROUND_S = 0.1
+# Shortest time between two rounds, so that what comes together is planned
+# together.
+ROUND_PAUSE_S = 0.01
+# A gang whose members did not all start in this share of the time that
+# members wait for each other is stopped.
+GANG_SHARE = 0.4
+# A group whose run never began waits this long before the next try.
+BACKOFF_MS = 250.0
+# A worker on which runs failed is used after others for this long.
+AVOID_S = 20.0
+# Percent at which tasks start.
+FULL_PACE = 100
+# Failures that a worker which has become slow counts for.
+SLOW_PENALTY = 3.0
+_LOG = logging.getLogger(__name__)
+_Commands = typing.Callable[
+    [ttypes.WorkCommand], 'collections.abc.Awaitable[typing.Any]'
+]
+
+
+class WorkSession:
+    """Soft state of one time of leadership.
+
+    Args:
+        replica: The member, which leads.
+        state: The replicated state.
+        ports: Opens ports to workers.
+        options: Settings of the platform.
+        propose: Proposes a command.
+        metrics: Metrics of the process.
+    """
+
+    def __init__(
+        self,
+        replica: replica_module.Replica,
+        state: state_module.WorkState,
+        ports: port_module.Ports,
+        options: settings.ControlPlatformSettings,
+        propose: _Commands,
+        metrics: metrics_module.Metrics,
+    ) -> None:
+        self._replica = replica
+        self._state = state
+        self._ports = ports
+        self._options = options
+        self._propose_command = propose
+        self._metrics = metrics
+        self._term = replica.term
+        self._links: dict[str, worker_link.WorkerLink] = {}
+        self._durations = durations_module.LearnedDurations()
+        self._planner = planner_module.Planner(
+            state, self._durations, remote_factor=options.remote_factor
+        )
+        self._pacer = pacing.Pacer()
+        self._paces: dict[layout.RunId, int] = {}
+        self._progress = progress.ProgressWatch()
+        self._work = signals.Signal()
+        self._dirty = True
+        self._blocked: dict[layout.GroupKey, float] = {}
+        self._advisor = advisor.Advisor(state, ports, self.changed)
+        self._upkeep = upkeep.Upkeep(
+            state, ports, self, upkeep_s=options.upkeep_s
+        )
+        self._strays: dict[layout.RunId, tuple[str, int, bool]] = {}
+        self._gangs: dict[layout.GroupKey, tuple[int, float]] = {}
+        self._failed_at: dict[str, list[float]] = {}
+        self._at_work: dict[layout.TaskId, int] = {}
+        self._waiting: dict[layout.GroupKey, planner_module.Waiting] = {}
+        self._ended = False
+
+    # What links need; see `worker_link.Owner`.
+
+    @property
+    def name(self) -> str:
+        """Name of this member."""
+        return self._replica.member.name
+
+    @property
+    def token(self) -> int:
+        """Fencing token: the term, which no two leaders share."""
+        return self._term
+
+    def leads(self) -> bool:
+        """Whether no other leader can have been elected."""
+        return (
+            not self._ended
+            and self._replica.ready
+            and self._replica.term == self._term
+            and self._replica.lease_holds()
+        )
+
+    async def record_ends(self, ends: list[ttypes.RunEnd]) -> bool:
+        """Records ends; returns whether they are agreed."""
+        before = {
+            (end.worker_id, layout.task_id(end.task)): self._state.task(
+                layout.task_id(end.task)
+            )
+            for end in ends
+        }
+        started = {
+            key: (task.run, task.started_ms) if task else (0, 0)
+            for key, task in before.items()
+        }
+        if not await self.propose(ttypes.WorkCommand(ends=ends)):
+            return False
+        now_ms = clock.now_ms()
+        for end in ends:
+            key = layout.task_id(end.task)
+            run, started_ms = started[(end.worker_id, key)]
+            self._note_end(end, key, run, now_ms - started_ms)
+        return True
+
+    async def fenced(self, subject: str) -> None:
+        """Notes that a worker or the platform knows a higher token."""
+        logs.event(
+            _LOG,
+            'fenced',
+            level=logging.WARNING,
+            subject=subject,
+            token=self._term,
+        )
+        self._ended = True
+        await self._replica.step_down()
+
+    async def replaced(self, worker: ttypes.WorkerRecord) -> None:
+        """Notes that a worker's address belongs to another one now."""
+        known = self._state.workers.get(worker.worker_id)
+        if known is None or known.incarnation != worker.incarnation:
+            return
+        logs.event(
+            _LOG,
+            'worker_replaced',
+            level=logging.WARNING,
+            worker=worker.worker_id,
+            address=worker.address,
+        )
+        gone = copy.copy(known)
+        gone.state = ttypes.WorkerState.GONE
+        await self.propose(ttypes.WorkCommand(workers=[gone]))
+        await self.changed()
+
+    async def changed(self) -> None:
+        """Starts a round of planning soon."""
+        self._dirty = True
+        await self._work.notify()
+
+    def live_runs(
+        self, worker_id: str, incarnation: int
+    ) -> list[tuple[layout.TaskId, ttypes.TaskRecord]]:
+        """Returns the runs that may be alive on a worker."""
+        return self._state.live_runs(worker_id, incarnation)
+
+    def spec_of(self, job_id: str) -> str | None:
+        """Returns what the tasks of a job are told."""
+        record = self._state.jobs.get(job_id)
+        return None if record is None else record.job.spec
+
+    def current(self, start: ttypes.RunStart) -> bool:
+        """Whether a run is still wanted."""
+        record = self._state.jobs.get(start.task.job_id)
+        if record is None or record.state in state_module.FINISHED:
+            return False
+        task = self._state.task(layout.task_id(start.task))
+        return (
+            task is not None
+            and task.run == start.run
+            and task.worker_id == start.worker_id
+            and not task.done
+        )
+
+    def progress(self, worker_id: str, held: port_module.Held) -> None:
+        """Takes in what a worker says of its runs."""
+        now_s = clock.steady_s()
+        self._progress.observe(
+            worker_id,
+            {
+                layout.RunId(running.key, running.run): running.percent
+                for running in held.running
+            },
+            now_s,
+        )
+        worst = 0.0
+        for running in held.running:
+            self._at_work[running.key] = running.percent
+            record = self._state.jobs.get(running.key.job_id)
+            if record is None or running.usage is None:
+                continue
+            step = record.job.steps[running.key.step]
+            if step.target_ms > 0:
+                worst = max(worst, running.usage / step.target_ms)
+        if self._pacer.observe(worker_id, worst, now_s):
+            # Taken up by the next round.
+            self._dirty = True
+            logs.event(
+                _LOG,
+                'pace_changed',
+                worker=worker_id,
+                percent=self._pacer.percent(worker_id),
+                worst_share=worst,
+            )
+
+    # Life of the session.
+
+    async def run(self) -> None:
+        """Plans rounds until the leadership ends."""
+        logs.event(_LOG, 'work_started', term=self._term)
+        try:
+            while self.leads():
+                self._dirty = False
+                await self._follow_workers()
+                await self._round()
+                await curio.sleep(ROUND_PAUSE_S)
+                if not self._dirty:
+                    await self._work.wait_for(ROUND_S)
+        finally:
+            self._ended = True
+            for link in self._links.values():
+                await link.close()
+            logs.event(_LOG, 'work_ended', term=self._term)
+
+    def note_report(self, report: ttypes.WorkerReport) -> None:
+        """Takes in a worker's clock from its own report."""
+        link = self._links.get(report.worker.worker_id)
+        if (
+            link is not None
+            and link.record.incarnation == report.worker.incarnation
+        ):
+            link.note_clock(report.clock_ms)
+
+    async def _follow_workers(self) -> None:
+        """Opens links to new workers and closes those to old ones."""
+        for worker_id, link in list(self._links.items()):
+            worker = self._state.workers.get(worker_id)
+            if (
+                worker is not None
+                and worker.incarnation == link.record.incarnation
+                and worker.address == link.record.address
+            ):
+                continue
+            self._note_stray(link)
+            await link.close()
+            del self._links[worker_id]
+        for worker in self._state.workers.values():
+            if worker.worker_id in self._links:
+                continue
+            link = worker_link.WorkerLink(
+                worker,
+                self._ports.open(worker),
+                self,
+                lease_ms=self._options.lease_ms,
+            )
+            self._links[worker.worker_id] = link
+            await link.open()
+        await self._fence_strays()
+        lost = [
+            ttypes.RunEnd(
+                task=layout.task_key(key),
+                run=task.run,
+                worker_id=task.worker_id,
+                incarnation=task.incarnation,
+                kind=ttypes.EndKind.LOST,
+                checkpoint='',
+            )
+            for record in self._state.active.values()
+            for key, task in layout.iterate(record)
+            if task.worker_id
+            and self._is_gone(task)
+            and layout.RunId(key, task.run) not in self._strays
+        ]
+        if lost:
+            await self.record_ends(lost)
+
+    def _is_gone(self, task: ttypes.TaskRecord) -> bool:
+        """Whether the incarnation that a run was sent to is over."""
+        worker = self._state.workers.get(task.worker_id)
+        return worker is None or worker.incarnation != task.incarnation
+
+    def _note_stray(self, link: worker_link.WorkerLink) -> None:
+        """Notes runs that a later incarnation may have been sent."""
+        worker_id = link.record.worker_id
+        worker = self._state.workers.get(worker_id)
+        if worker is None or worker.address != link.record.address:
+            return
+        for key, task in self._state.live_runs(
+            worker_id, link.record.incarnation
+        ):
+            if link.may_have_reached_another(key, task.run):
+                run_id = layout.RunId(key, task.run)
+                self._strays[run_id] = (worker_id, worker.incarnation, False)
+
+    async def _fence_strays(self) -> None:
+        """Makes later incarnations stop such runs before they run again."""
+        for run_id, (worker_id, incarnation, sent) in list(
+            self._strays.items()
+        ):
+            link = self._links.get(worker_id)
+            if link is None or link.record.incarnation != incarnation:
+                # That incarnation is over, too.
+                del self._strays[run_id]
+            elif not sent:
+                await link.stop(*run_id)
+                self._strays[run_id] = (worker_id, incarnation, True)
+            elif run_id not in link.stopping:
+                del self._strays[run_id]
+
+    # Rounds.
+
+    def _usable(self, worker: ttypes.WorkerRecord) -> bool:
+        link = self._links.get(worker.worker_id)
+        return link is not None and link.usable
+
+    def _penalty(self, worker_id: str) -> float:
+        now_s = clock.steady_s()
+        failed = self._failed_at.get(worker_id, ())
+        recent = sum(1 for at_s in failed if at_s > now_s - AVOID_S)
+        if self._progress.is_slow(worker_id, now_s):
+            return recent + SLOW_PENALTY
+        return float(recent)
+
+    def _stopping(self) -> set[layout.RunId]:
+        found: set[layout.RunId] = set()
+        for link in self._links.values():
+            found |= link.stopping
+        return found
+
+    async def _round(self) -> None:
+        started_s = time.monotonic()
+        await self._stop_unwanted()
+        await self._send_unsent()
+        await self._send_paces()
+        stopping = self._stopping()
+        fleet = room_module.Fleet(
+            self._state,
+            stopping=stopping,
+            usable=self._usable,
+            penalty=self._penalty,
+        )
+        for run in await self._upkeep.round(fleet, self._away):
+            await self._stop(
+                run.key, run.task.run, run.task.worker_id, 'upkeep'
+            )
+        plan = self._planner.plan(
+            fleet,
+            now_ms=clock.now_ms(),
+            blocked=self._blocked,
+            stopping=stopping,
+            approvals=self._advisor.approvals,
+        )
+        self._log_waiting(plan.waiting)
+        for group in plan.advice_wanted:
+            await self._advisor.ask(group)
+        for stop in plan.stops:
+            await self._stop(stop.key, stop.run, stop.worker_id, stop.reason)
+        self._metrics.histogram('banyan_work_round_us').record(
+            time.monotonic() - started_s
+        )
+        if plan.starts:
+            await self._start(plan.starts)
+
+    def _log_waiting(
+        self, waiting: dict[layout.GroupKey, planner_module.Waiting]
+    ) -> None:
+        for group, why in waiting.items():
+            known = self._waiting.get(group)
+            if known is not None and known.cause is why.cause:
+                continue
+            logs.event(
+                _LOG,
+                'tasks_wait',
+                job=group.job_id,
+                occurrence=group.occurrence,
+                step=group.step,
+                cause=why.cause.value,
+                members=why.members,
+                accelerators=why.accelerators,
+                workers=why.workers,
+                guaranteed=why.guaranteed,
+            )
+        self._waiting = waiting
+
+    async def _start(self, starts: list[ttypes.RunStart]) -> None:
+        if not await self.propose(ttypes.WorkCommand(starts=starts)):
+            return
+        now_s = clock.steady_s()
+        for start in starts:
+            key = layout.task_id(start.task)
+            record = self._state.jobs.get(key.job_id)
+            if record is not None and record.job.steps[key.step].gang:
+                self._gangs[key.group] = (start.run, now_s)
+            logs.event(
+                _LOG,
+                'run_placed',
+                task='.'.join(map(str, key)),
+                run=start.run,
+                worker=start.worker_id,
+            )
+            link = self._links.get(start.worker_id)
+            if link is not None:
+                await link.start(start)
+        self._metrics.counter('banyan_runs_placed').add(len(starts))
+
+    async def _send_paces(self) -> None:
+        """Tells workers the paces of the filling tasks that run there."""
+        alive: set[layout.RunId] = set()
+        for record in list(self._state.active.values()):
+            for key, task in layout.iterate(record):
+                step = record.job.steps[key.step]
+                link = self._links.get(task.worker_id)
+                if not step.fills or link is None:
+                    continue
+                run_id = layout.RunId(key, task.run)
+                alive.add(run_id)
+                percent = self._pacer.percent(task.worker_id)
+                if not link.is_confirmed(key, task.run):
+                    continue
+                if self._paces.get(run_id, FULL_PACE) != percent:
+                    self._paces[run_id] = percent
+                    await link.pace(key, task.run, percent)
+        for run_id in self._paces.keys() - alive:
+            del self._paces[run_id]
+
+    async def _send_unsent(self) -> None:
+        """Sends runs whose record was agreed after we gave up waiting."""
+        for record in list(self._state.active.values()):
+            if record.state in state_module.FINISHED:
+                continue
+            for key, task in layout.iterate(record):
+                if not task.worker_id:
+                    continue
+                link = self._links.get(task.worker_id)
+                if link is None or link.knows(key, task.run):
+                    continue
+                await link.start(
+                    ttypes.RunStart(
+                        task=layout.task_key(key),
+                        run=task.run,
+                        worker_id=task.worker_id,
+                        incarnation=task.incarnation,
+                        checkpoint=task.checkpoint,
+                        ticket=task.ticket,
+                    )
+                )
+
+    async def _stop(
+        self, key: layout.TaskId, run: int, worker_id: str, reason: str
+    ) -> None:
+        link = self._links.get(worker_id)
+        if link is None or layout.RunId(key, run) in link.stopping:
+            return
+        task = self._state.task(key)
+        if task is None or (task.run, task.worker_id) != (run, worker_id):
+            # It ended since the round looked.
+            return
+        logs.event(
+            _LOG,
+            'run_stopping',
+            task='.'.join(map(str, key)),
+            run=run,
+            worker=worker_id,
+            reason=reason,
+        )
+        self._metrics.counter('banyan_runs_stopped').add()
+        await link.stop(key, run)
+
+    async def _stop_unwanted(self) -> None:
+        """Stops runs of finished jobs and of gangs that are not whole."""
+        now_s = clock.steady_s()
+        limit_s = GANG_SHARE * self._options.gang_ms / 1000
+        for record in list(self._state.active.values()):
+            if record.state == ttypes.JobState.COMPLETED:
+                # What is still listed as alive ends by itself.
+                continue
+            finished = record.state in state_module.FINISHED
+            for key, task in layout.iterate(record):
+                if not task.worker_id:
+                    continue
+                if finished:
+                    await self._stop(
+                        key, task.run, task.worker_id, 'job finished'
+                    )
+                elif self._is_broken(record, key, task, now_s, limit_s):
+                    await self._stop(
+                        key, task.run, task.worker_id, 'gang not whole'
+                    )
+        for group in list(self._gangs):
+            record = self._state.active.get(group.job_id)
+            if record is None:
+                del self._gangs[group]
+
+    def _is_broken(
+        self,
+        record: ttypes.JobRecord,
+        key: layout.TaskId,
+        task: ttypes.TaskRecord,
+        now_s: float,
+        limit_s: float,
+    ) -> bool:
+        if not record.job.steps[key.step].gang or task.done:
+            return False
+        members = layout.group_tasks(record, key.occurrence, key.step)
+        if any(
+            member.run != task.run or not member.worker_id
+            for member in members
+        ):
+            return True
+        run, started_s = self._gangs.get(key.group, (0, 0.0))
+        if run != task.run or now_s - started_s < limit_s:
+            return False
+        for index, member in enumerate(members):
+            link = self._links.get(member.worker_id)
+            member_key = layout.TaskId(*key.group, index)
+            if link is None or not link.is_confirmed(member_key, run):
+                return True
+        del self._gangs[key.group]
+        return False
+
+    def _note_end(
+        self,
+        end: ttypes.RunEnd,
+        key: layout.TaskId,
+        run: int,
+        ran_ms: float,
+    ) -> None:
+        kind = ttypes.EndKind._VALUES_TO_NAMES[end.kind].lower()
+        logs.event(
+            _LOG,
+            'run_ended',
+            task='.'.join(map(str, key)),
+            run=end.run,
+            worker=end.worker_id,
+            kind=kind,
+            ran_ms=ran_ms if run == end.run else None,
+        )
+        self._metrics.counter('banyan_runs_ended', kind=kind).add()
+        self._at_work.pop(key, None)
+        record = self._state.jobs.get(key.job_id)
+        if record is None or run != end.run:
+            return
+        step = record.job.steps[key.step]
+        if end.kind == ttypes.EndKind.DONE:
+            self._failed_at.pop(end.worker_id, None)
+            if not end.checkpoint:
+                self._durations.observe(record, step, ran_ms)
+        elif end.kind == ttypes.EndKind.FAILED:
+            self._failed_at.setdefault(end.worker_id, []).append(
+                clock.steady_s()
+            )
+        elif end.kind in (ttypes.EndKind.NEVER, ttypes.EndKind.ALONE):
+            self._blocked[key.group] = clock.now_ms() + BACKOFF_MS
+
+    def _away(self, group: layout.GroupKey) -> int:
+        record = self._state.active.get(group.job_id)
+        if record is None:
+            return 0
+        tasks = layout.group_tasks(record, group.occurrence, group.step)
+        return sum(
+            not task.worker_id
+            or self._at_work.get(layout.TaskId(*group, index), 0) < 100
+            for index, task in enumerate(tasks)
+        )
+
+    async def propose(self, command: ttypes.WorkCommand) -> bool:
+        """Proposes a command; returns whether it is agreed."""
+        try:
+            await self._propose_command(command)
+        except replication_errors.ReplicationError as error:
+            logs.event(
+                _LOG,
+                'work_unconfirmed',
+                level=logging.WARNING,
+                error=error,
+            )
+            return False
+        return True
--- a/banyantrack/platform/config.py
+++ b/banyantrack/platform/config.py
@@ -97,6 +97,7 @@
         at_once=fields.integer('maximum', high=jobs.INT32) or 1,
         accepted_ms=0,
         begun=[],
+        begun_ms=[],
         state=ttypes.WaveState.RUNNING,
     )
     return None if found.found else wave
--- a/banyantrack/tests/test_work_progress.py
+++ b/banyantrack/tests/test_work_progress.py
@@ -74,7 +74,9 @@
 
 
 class TestWaves(testtools.TestCase):
-    def plan(self, state, *, down=None, away=0) -> waves.WavePlan:
+    def plan(
+        self, state, *, calling=(), away=0, now_ms=builders.NOW_MS
+    ) -> waves.WavePlan:
         fleet = room.Fleet(
             state,
             stopping=(),
@@ -82,7 +84,12 @@
             penalty=lambda _: 0.0,
         )
         return waves.plan_waves(
-            state, fleet, down=down or {}, away=lambda _: away
+            state,
+            fleet,
+            calling=set(calling),
+            away=lambda _: away,
+            now_ms=now_ms,
+            upkeep_ms=2000,
         )
 
     def made(self, *, at_once: int = 1):
@@ -94,6 +101,7 @@
             at_once=at_once,
             accepted_ms=0,
             begun=[],
+            begun_ms=[],
             state=ttypes.WaveState.RUNNING,
         )
         state.apply(ttypes.WorkCommand(wave=wave), builders.NOW_MS)
@@ -102,7 +110,26 @@
     def test_at_most_so_many_at_once(self) -> None:
         state = self.made()
         self.assertEqual(1, len(self.plan(state).begin))
-        self.assertEqual([], self.plan(state, down={'m-w1': 1}).begin)
+        self.assertEqual([], self.plan(state, calling=['m-w1']).begin)
+
+    def test_machine_is_down_until_its_next_life_reports(self) -> None:
+        # A new leader has to know, too.
+        state = self.made()
+        begun = ttypes.WaveBegun(number=1, machine='m-w1')
+        state.apply(ttypes.WorkCommand(begun=[begun]), builders.NOW_MS)
+        self.assertEqual([], self.plan(state).begin)
+        back = builders.worker(
+            'next', machine='m-w1', incarnation=builders.NOW_MS + 2000
+        )
+        state.apply(ttypes.WorkCommand(workers=[back]), builders.NOW_MS)
+        self.assertEqual([(1, 'm-w2')], self.plan(state).begin)
+
+    def test_machine_that_never_comes_back_ends_no_wave(self) -> None:
+        state = self.made()
+        begun = ttypes.WaveBegun(number=1, machine='m-w1')
+        state.apply(ttypes.WorkCommand(begun=[begun]), builders.NOW_MS)
+        later_ms = builders.NOW_MS + 60_000
+        self.assertEqual(1, len(self.plan(state, now_ms=later_ms).begin))
 
     def test_machine_is_emptied_first(self) -> None:
         state = self.made(at_once=2)
--- a/banyantrack/workload/state.py
+++ b/banyantrack/workload/state.py
@@ -115,7 +115,7 @@
         if command.wave is not None:
             self._waves.setdefault(command.wave.number, command.wave)
         for begun in command.begun or ():
-            self._apply_begun(begun)
+            self._apply_begun(begun, now_ms)
         return None
 
     def snapshot(self) -> ttypes.WorkSnapshot:
@@ -336,12 +336,13 @@
         else:
             self._workers[worker.worker_id] = worker
 
-    def _apply_begun(self, begun: ttypes.WaveBegun) -> None:
+    def _apply_begun(self, begun: ttypes.WaveBegun, now_ms: int) -> None:
         wave = self._waves.get(begun.number)
         if wave is None:
             return
         if begun.machine and begun.machine not in wave.begun:
             wave.begun.append(begun.machine)
+            wave.begun_ms.append(now_ms)
         if not begun.machine:
             wave.state = ttypes.WaveState.COMPLETED
 
--- a/banyantrack/workload/waves.py
+++ b/banyantrack/workload/waves.py
@@ -18,6 +18,9 @@
     from banyantrack.workload import room as room_module
     from banyantrack.workload import state as state_module
 
+# A machine that is not back after so many times the usual upkeep is lost.
+LONGEST_UPKEEPS = 5
+
 
 @dataclasses.dataclass(slots=True)
 class WavePlan:
@@ -40,16 +43,20 @@
     state: state_module.WorkState,
     fleet: room_module.Fleet,
     *,
-    down: collections.abc.Mapping[str, int],
+    calling: collections.abc.Set[str],
     away: collections.abc.Callable[[layout.GroupKey], int],
+    now_ms: int,
+    upkeep_ms: float,
 ) -> WavePlan:
     """Plans all waves that go on.
 
     Args:
         state: The replicated state.
         fleet: Workers and what runs on them.
-        down: Machines that are in upkeep now, with their wave.
+        calling: Machines whose upkeep was asked for without an answer yet.
         away: Tasks of a group that are not at work.
+        now_ms: Time of day.
+        upkeep_ms: Time that an upkeep takes.
     """
     plan = WavePlan()
     by_machine = {
@@ -66,7 +73,10 @@
         if not present and not left:
             plan.completed.append(wave.number)
             continue
-        busy = sum(1 for number in down.values() if number == wave.number)
+        busy = len(calling & set(left)) + _down(
+            wave, by_machine, now_ms, upkeep_ms
+        )
+        present = [machine for machine in present if machine not in calling]
         present.sort(key=lambda m: len(by_machine[m].runs))
         for machine in present[: max(wave.at_once - busy, 0)]:
             room = by_machine[machine]
@@ -80,6 +90,22 @@
     return plan
 
 
+def _down(
+    wave: ttypes.Wave,
+    by_machine: collections.abc.Mapping[str, room_module.WorkerRoom],
+    now_ms: int,
+    upkeep_ms: float,
+) -> int:
+    """Returns how many machines of a wave are down for their upkeep."""
+    count = 0
+    for machine, begun_ms in zip(wave.begun, wave.begun_ms, strict=True):
+        room = by_machine.get(machine)
+        if room is not None and room.record.incarnation >= begun_ms:
+            continue
+        count += now_ms < begun_ms + LONGEST_UPKEEPS * upkeep_ms
+    return count
+
+
 def _may_move(
     run: room_module.LiveRun,
     moved: dict[layout.GroupKey, int],
--- a/schema/workload.thrift
+++ b/schema/workload.thrift
@@ -181,8 +181,10 @@
   3: i32 duration_s
   4: i32 at_once
   5: i64 accepted_ms
+  // Machines whose upkeep has begun, and when, in milliseconds since 1970.
   6: list<string> begun
   7: WaveState state
+  8: list<i64> begun_ms
 }
 
 struct SubmitCommand {
