--- a/banyantrack/daemons/work_session.py
+++ b/banyantrack/daemons/work_session.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import copy
+import dataclasses
 import logging
 import time
 import typing
@@ -56,6 +57,23 @@
 ]
 
 
+@dataclasses.dataclass(slots=True)
+class _Stray:
+    """A run that a later life of its worker may have been sent."""
+
+    worker_id: str
+    incarnation: int
+    stop_sent: bool = False
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _GangStart:
+    """A run of a gang whose members have not all been confirmed."""
+
+    run: int
+    at_s: float
+
+
 class WorkSession:
     """Soft state of one time of leadership.
 
@@ -99,10 +117,11 @@
         self._upkeep = upkeep.Upkeep(
             state, ports, self, upkeep_s=options.upkeep_s
         )
-        self._strays: dict[layout.RunId, tuple[str, int, bool]] = {}
-        self._gangs: dict[layout.GroupKey, tuple[int, float]] = {}
+        self._strays: dict[layout.RunId, _Stray] = {}
+        self._gangs: dict[layout.GroupKey, _GangStart] = {}
         self._failed_at: dict[str, list[float]] = {}
         self._at_work: dict[layout.TaskId, int] = {}
+        self._saved: dict[layout.TaskId, str] = {}
         self._waiting: dict[layout.GroupKey, planner_module.Waiting] = {}
         self._ended = False
 
@@ -220,6 +239,8 @@
         worst = 0.0
         for running in held.running:
             self._at_work[running.key] = running.percent
+            if running.checkpoint:
+                self._saved[running.key] = running.checkpoint
             record = self._state.jobs.get(running.key.job_id)
             if record is None or running.usage is None:
                 continue
@@ -278,7 +299,7 @@
             self._note_stray(link)
             await link.close()
             del self._links[worker_id]
-        for worker in self._state.workers.values():
+        for worker in list(self._state.workers.values()):
             if worker.worker_id in self._links:
                 continue
             link = worker_link.WorkerLink(
@@ -297,7 +318,7 @@
                 worker_id=task.worker_id,
                 incarnation=task.incarnation,
                 kind=ttypes.EndKind.LOST,
-                checkpoint='',
+                checkpoint=self._saved.get(key, ''),
             )
             for record in self._state.active.values()
             for key, task in layout.iterate(record)
@@ -324,20 +345,18 @@
         ):
             if link.may_have_reached_another(key, task.run):
                 run_id = layout.RunId(key, task.run)
-                self._strays[run_id] = (worker_id, worker.incarnation, False)
+                self._strays[run_id] = _Stray(worker_id, worker.incarnation)
 
     async def _fence_strays(self) -> None:
         """Makes later incarnations stop such runs before they run again."""
-        for run_id, (worker_id, incarnation, sent) in list(
-            self._strays.items()
-        ):
-            link = self._links.get(worker_id)
-            if link is None or link.record.incarnation != incarnation:
+        for run_id, stray in list(self._strays.items()):
+            link = self._links.get(stray.worker_id)
+            if link is None or link.record.incarnation != stray.incarnation:
                 # That incarnation is over, too.
                 del self._strays[run_id]
-            elif not sent:
+            elif not stray.stop_sent:
+                stray.stop_sent = True
                 await link.stop(*run_id)
-                self._strays[run_id] = (worker_id, incarnation, True)
             elif run_id not in link.stopping:
                 del self._strays[run_id]
 
@@ -424,7 +443,7 @@
             key = layout.task_id(start.task)
             record = self._state.jobs.get(key.job_id)
             if record is not None and record.job.steps[key.step].gang:
-                self._gangs[key.group] = (start.run, now_s)
+                self._gangs[key.group] = _GangStart(start.run, now_s)
             logs.event(
                 _LOG,
                 'run_placed',
@@ -541,13 +560,17 @@
             for member in members
         ):
             return True
-        run, started_s = self._gangs.get(key.group, (0, 0.0))
-        if run != task.run or now_s - started_s < limit_s:
+        begun = self._gangs.get(key.group)
+        if (
+            begun is None
+            or begun.run != task.run
+            or now_s - begun.at_s < limit_s
+        ):
             return False
         for index, member in enumerate(members):
             link = self._links.get(member.worker_id)
             member_key = layout.TaskId(*key.group, index)
-            if link is None or not link.is_confirmed(member_key, run):
+            if link is None or not link.is_confirmed(member_key, begun.run):
                 return True
         del self._gangs[key.group]
         return False
@@ -571,6 +594,7 @@
         )
         self._metrics.counter('banyan_runs_ended', kind=kind).add()
         self._at_work.pop(key, None)
+        self._saved.pop(key, None)
         record = self._state.jobs.get(key.job_id)
         if record is None or run != end.run:
             return
