--- a/banyantrack/platform/workers.py
+++ b/banyantrack/platform/workers.py
@@ -208,23 +208,26 @@
 def _running(body: wire.Fields) -> typing.Iterator[port_module.RunningTask]:
     for row in body.rows('running', 4):
         key = parse_task_name(row[0])
-        if key is None or type(row[1]) is not int:
+        if key is None or not _is_whole(row[1]):
             continue
+        # The fifth entry is missing where nothing is shared.
         usage = row[4] if len(row) > 4 else None
         yield port_module.RunningTask(
             key=key,
             run=row[1],
             checkpoint=row[2] if isinstance(row[2], str) else '',
-            percent=int(row[3] or 0),
-            usage=int(usage) if isinstance(usage, (int, float)) else None,
+            percent=row[3] if _is_whole(row[3]) else 0,
+            usage=usage if _is_whole(usage) else None,
         )
 
 
 def _ended(body: wire.Fields) -> typing.Iterator[port_module.EndedTask]:
     for row in body.rows('finished', 5):
         key = parse_task_name(row[1])
-        kind = ENDS.get(row[3])
-        if key is None or kind is None or type(row[2]) is not int:
+        kind = ENDS.get(row[3]) if isinstance(row[3], str) else None
+        if key is None or kind is None:
+            continue
+        if not _is_whole(row[0]) or not _is_whole(row[2]):
             continue
         yield port_module.EndedTask(
             number=row[0],
@@ -235,6 +238,11 @@
         )
 
 
+def _is_whole(value: object) -> bool:
+    # A truth value counts as a whole number in Python.
+    return type(value) is int
+
+
 async def _post(
     client: http_client.HttpClient,
     path: str,
--- /dev/null
+++ b/banyantrack/tests/test_platform_wire.py
@@ -0,0 +1,147 @@
+"""Reading of what comes from the platform, whatever its bytes are."""
+
+from __future__ import annotations
+
+import json
+
+import hypothesis
+from hypothesis import strategies
+import testtools
+
+from banyantrack.core import findings
+from banyantrack.generated.workload import ttypes
+from banyantrack.platform import config
+from banyantrack.platform import jobs
+from banyantrack.platform import reports
+from banyantrack.platform import wire
+from banyantrack.platform import workers
+from banyantrack.testing import platform_system
+from banyantrack.workload import layout
+
+VALUES = strategies.recursive(
+    strategies.none()
+    | strategies.booleans()
+    | strategies.integers()
+    | strategies.floats()
+    | strategies.text(max_size=8),
+    lambda inner: (
+        strategies.lists(inner, max_size=4)
+        | strategies.dictionaries(strategies.text(max_size=8), inner)
+    ),
+    max_leaves=12,
+)
+REPORT = {
+    'service': 'line',
+    'address': '10.0.0.1:80',
+    'zone': 'z1',
+    'state': 'ready',
+    'capacity': {'cpu': 1000, 'memMb': 1000, 'gpu': 8},
+    'labels': ['a', 'r1'],
+    'clockMs': 5,
+    'sequence': 4,
+    'born': 7,
+}
+JOB = {
+    'spec': 'x',
+    'steps': [{'count': 2, 'gpu': 1}, {'count': 1, 'dependsOn': [0]}],
+}
+
+
+def changed(whole: dict) -> strategies.SearchStrategy[bytes]:
+    """Returns bodies in which one field has some other value."""
+    return strategies.builds(
+        lambda key, value: json.dumps(whole | {key: value}).encode(),
+        strategies.sampled_from(sorted(whole)),
+        VALUES,
+    )
+
+
+def bodies(whole: dict) -> strategies.SearchStrategy[bytes]:
+    """Returns bodies of all kinds, many of them nearly right."""
+    return (
+        strategies.binary(max_size=40)
+        | changed(whole)
+        | strategies.integers(0, len(json.dumps(whole))).map(
+            lambda end: json.dumps(whole)[:end].encode()
+        )
+    )
+
+
+class TestFuzz(testtools.TestCase):
+    """A body is read whole, or everything wrong with it is found."""
+
+    @hypothesis.given(bodies(platform_system.DEFAULT_CONFIG))
+    def test_configuration(self, body: bytes) -> None:
+        found = findings.Findings()
+        read = config.parse_config(body, found)
+        self.assertEqual(read is None, bool(found.found))
+
+    @hypothesis.given(bodies(JOB))
+    def test_job(self, body: bytes) -> None:
+        found = findings.Findings()
+        read = jobs.parse_job('/usual/' + 'a' * 16, body, found)
+        self.assertEqual(read is None, bool(found.found))
+
+    @hypothesis.given(bodies(REPORT))
+    def test_report(self, body: bytes) -> None:
+        found = findings.Findings()
+        read = reports.parse_report('i-1', body, found)
+        self.assertEqual(read is None, bool(found.found))
+
+    @hypothesis.given(bodies({'wave': 1, 'machines': ['m'], 'maximum': 1}))
+    def test_wave(self, body: bytes) -> None:
+        found = findings.Findings()
+        read = config.parse_wave(body, found)
+        self.assertEqual(read is None, bool(found.found))
+
+    @hypothesis.given(VALUES, VALUES)
+    def test_lists_of_runs(self, running: object, finished: object) -> None:
+        found = findings.Findings()
+        body = json.dumps({'running': running, 'finished': finished})
+        fields = wire.parse(body.encode(), found)
+        for run in workers._running(fields):
+            self.assertIsInstance(run.key, layout.TaskId)
+        for ended in workers._ended(fields):
+            self.assertIsInstance(ended.number, int)
+
+    @hypothesis.given(VALUES)
+    def test_rows_of_runs(self, value: object) -> None:
+        found = findings.Findings()
+        row = ['a.0.0.0', 1, 'done', 'done', '']
+        for place in range(len(row)):
+            rows = [row[:place] + [value] + row[place + 1 :]]
+            body = json.dumps({'running': rows, 'finished': rows})
+            fields = wire.parse(body.encode(), found)
+            list(workers._running(fields))
+            list(workers._ended(fields))
+
+
+class TestNames(testtools.TestCase):
+    def test_task_names(self) -> None:
+        key = layout.TaskId('5c0e7a21d94b36f8', 0, 1, 17)
+        name = workers.task_name(key)
+        self.assertEqual('5c0e7a21d94b36f8.0.1.17', name)
+        self.assertEqual(key, workers.parse_task_name(name))
+        for bad in (None, 3, '', 'a.b.c.d', 'a.0.0', 'a.0.0.0.0'):
+            self.assertIsNone(workers.parse_task_name(bad))
+
+    def test_fields_that_are_left_out_are_empty(self) -> None:
+        found = findings.Findings()
+        body = b'{"steps":[{"gpu":2}]}'
+        job = jobs.parse_job('/q/' + 'a' * 16, body, found)
+        step = job.steps[0]
+        self.assertEqual(
+            (1, 2, False), (step.count, step.accelerators, step.gang)
+        )
+
+    def test_key_of_a_header(self) -> None:
+        self.assertEqual('k', jobs.key_of('Token k'))
+        self.assertEqual('', jobs.key_of('Bearer k'))
+        self.assertEqual('', jobs.key_of(None))
+
+    def test_state_of_a_job(self) -> None:
+        answer = ttypes.JobAnswer(
+            verdict=ttypes.JobVerdict.DONE, state=ttypes.JobState.QUEUED
+        )
+        asked = ttypes.JobOperation.READ
+        self.assertEqual({'state': 'queued'}, jobs.answer_body(asked, answer))
