--- a/banyantrack/workload/validation.py
+++ b/banyantrack/workload/validation.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import re
 import typing
 
 from banyantrack.core import findings
@@ -10,7 +9,6 @@
 if typing.TYPE_CHECKING:
     from banyantrack.generated.workload import ttypes
 
-JOB_ID = re.compile(r'[0-9a-fA-F]{16}')
 SPEC_LIMIT_BYTES = 4000
 # Tasks of one job over all occurrences; a record holds each of them.
 TASK_LIMIT = 100_000
