--- a/banyantrack/workload/state.py
+++ b/banyantrack/workload/state.py
@@ -43,11 +43,6 @@
         """The configuration in force; None before the first."""
         return self._config
 
-    @property
-    def router(self) -> routing.Router | None:
-        """Queues and keys in force; None before the first configuration."""
-        return self._router
-
     @property
     def jobs(self) -> collections.abc.Mapping[str, ttypes.JobRecord]:
         """All jobs by id."""
--- a/banyantrack/workload/values.py
+++ b/banyantrack/workload/values.py
@@ -51,10 +51,6 @@
             self._usual[queue] = usual
         return work / max(usual, 1.0)
 
-    def forget(self, job_id: str) -> None:
-        """Drops what is kept of a finished job."""
-        self._seen.pop(job_id, None)
-
     def worth(
         self,
         record: ttypes.JobRecord,
