--- a/banyantrack/cli/operator.py
+++ b/banyantrack/cli/operator.py
@@ -6,6 +6,7 @@
 import json
 import os
 import pathlib
+import signal
 import sys
 import time
 import typing
@@ -169,6 +170,8 @@
     Returns:
         The exit code.
     """
+    # Commands end with their terminal, unlike daemons.
+    signal.signal(signal.SIGHUP, signal.SIG_DFL)
     options = build_parser().parse_args(arguments)
     if options.command == 'completion':
         print(completion.bash(build_parser()))
--- a/banyantrack/cli/report.py
+++ b/banyantrack/cli/report.py
@@ -4,6 +4,7 @@
 
 import argparse
 import pathlib
+import signal
 import sys
 import time
 
@@ -27,6 +28,8 @@
     Returns:
         The exit code.
     """
+    # Commands end with their terminal, unlike daemons.
+    signal.signal(signal.SIGHUP, signal.SIG_DFL)
     parser = argparse.ArgumentParser(
         prog='banyan-report',
         description='Service-level burn from the logs of entries.',
--- a/banyantrack/testing/platform_soak.py
+++ b/banyantrack/testing/platform_soak.py
@@ -32,6 +32,7 @@
 FAULT_PAUSE_S = (0.3, 1.5)
 JOB_PAUSE_S = (0.05, 0.3)
 CONFIG_PAUSE_S = 1.0
+SUPERVISE_S = 0.1
 SETTLE_S = 60.0
 CONTROL = 5
 EXECUTORS = 6
@@ -121,12 +122,14 @@
                 await curio.spawn(work)
                 for work in (self._submit, self._configure)
             ]
+            supervisor = await curio.spawn(self._supervise, daemon=True)
             await self._inject()
             self._over = True
             await self._heal()
             for task in tasks:
                 await task.join()
             await self._settle()
+            await supervisor.cancel()
         self.broken += self._made.observer.broken
         self._check_refused()
         return {
@@ -244,6 +247,22 @@
         else:
             await self._fault_control(fault)
 
+    async def _supervise(self) -> None:
+        """Starts processes again that ended by themselves."""
+        while True:
+            await curio.sleep(SUPERVISE_S)
+            for process in self._made.processes:
+                if process.running or process.name in self._down:
+                    continue
+                # The interpreter itself cannot take a request to reload.
+                if process.exit_code != -signal.SIGHUP:
+                    self.broken.append(
+                        f'{process.name}: ended by itself with'
+                        f' {process.exit_code}'
+                    )
+                self.faults['own-end'] += 1
+                process.start()
+
     async def _fault_control(self, fault: Fault) -> None:
         process = self._rng.choice(self._made.control)
         if len(self._down) >= MOST_DOWN or process.name in self._down:
--- a/banyantrack/testing/system.py
+++ b/banyantrack/testing/system.py
@@ -104,6 +104,11 @@
         """Whether it runs."""
         return self._process is not None and self._process.poll() is None
 
+    @property
+    def exit_code(self) -> int | None:
+        """How it ended; None while it runs, or if it never did."""
+        return self._process.poll() if self._process else None
+
     def write(self) -> None:
         """Writes the settings."""
         self._config.write_text(yaml.safe_dump(self.settings))
--- a/banyantrack/tests/test_daemons.py
+++ b/banyantrack/tests/test_daemons.py
@@ -349,6 +349,21 @@
                 self.assertIn(f'{file.name}:2:7', done.stderr)
                 self.assertIn(f'{file.name}:3:1', done.stderr)
 
+    def test_reload_while_starting_ends_nothing(self) -> None:
+        code = (
+            'import os, signal\n'
+            'import banyantrack.cli\n'
+            'os.kill(os.getpid(), signal.SIGHUP)\n'
+            'print("alive")\n'
+        )
+        done = subprocess.run(
+            [sys.executable, '-c', code],
+            capture_output=True,
+            text=True,
+            check=False,
+        )
+        self.assertEqual('alive\n', done.stdout)
+
     def test_operator_without_server(self) -> None:
         done = self._run(
             'operator', '--server', '127.0.0.1:1', '--timeout', '0.5', 'status'
