--- a/banyantrack/daemons/work_api.py
+++ b/banyantrack/daemons/work_api.py
@@ -111,7 +111,11 @@
                     key=call.key,
                 )
             )
-            return await self._change(command)
+            known = call.job.job_id in self._state.jobs
+            answer = await self._change(command)
+            if not known and answer.verdict == Verdict.DONE:
+                self._log_accepted(call.job.job_id)
+            return answer
         if call.operation == ttypes.JobOperation.CANCEL:
             command = ttypes.WorkCommand(
                 cancel=ttypes.CancelCommand(
@@ -132,6 +136,32 @@
             return _answer(Verdict.NO_JOB)
         return _answer(Verdict.DONE, state=record.state)
 
+    def _log_accepted(self, job_id: str) -> None:
+        record = self._state.jobs.get(job_id)
+        if record is None:
+            return
+        for number, step in enumerate(record.job.steps):
+            logs.event(
+                _LOG,
+                'job_accepted',
+                job=job_id,
+                step=number,
+                queue=record.queue.name,
+                priority=record.queue.priority,
+                customer=record.customer,
+                tasks=step.count,
+                accelerators=step.accelerators,
+                cpu_milli=step.cpu_milli,
+                estimated_ms=step.estimated_ms,
+                gang=step.gang,
+                same_rack=step.same_rack or None,
+                data_rack=step.data_rack or None,
+                label=step.required_label or None,
+                checkpointable=step.checkpointable or None,
+                long_running=step.long_running or None,
+                repeat_count=record.job.repeat_count or None,
+            )
+
     async def _change(self, command: ttypes.WorkCommand) -> ttypes.JobAnswer:
         answer = await self._lead.propose(command)
         session = self._lead.session
--- a/banyantrack/daemons/work_session.py
+++ b/banyantrack/daemons/work_session.py
@@ -429,9 +429,12 @@
                 step=group.step,
                 cause=why.cause.value,
                 members=why.members,
-                accelerators=why.accelerators,
+                accelerators=why.step.accelerators,
                 workers=why.workers,
                 guaranteed=why.guaranteed,
+                label=why.step.required_label or None,
+                data_rack=why.step.data_rack or None,
+                same_rack=why.step.same_rack or None,
             )
         self._waiting = waiting
 
--- a/banyantrack/workload/planner.py
+++ b/banyantrack/workload/planner.py
@@ -45,14 +45,14 @@
     Attributes:
         cause: The cause.
         members: Tasks that wait.
-        accelerators: Accelerators that each of them needs.
+        step: Their step.
         workers: Workers that may run them.
         guaranteed: Whether its customer's guarantee covers the job.
     """
 
     cause: Cause
     members: int
-    accelerators: int
+    step: ttypes.Step
     workers: int
     guaranteed: bool
 
@@ -286,7 +286,7 @@
     return Waiting(
         cause=cause,
         members=len(unit.members),
-        accelerators=unit.step.accelerators,
+        step=unit.step,
         workers=len(candidates),
         guaranteed=unit.guaranteed,
     )
