--- a/banyantrack/daemons/work_session.py
+++ b/banyantrack/daemons/work_session.py
@@ -374,6 +374,13 @@
             return recent + SLOW_PENALTY
         return float(recent)
 
+    def _remaining_ms(self, run: room_module.LiveRun) -> float | None:
+        return self._progress.remaining_ms(
+            run.task.worker_id,
+            layout.RunId(run.key, run.task.run),
+            clock.steady_s(),
+        )
+
     def _stopping(self) -> set[layout.RunId]:
         found: set[layout.RunId] = set()
         for link in self._links.values():
@@ -391,6 +398,7 @@
             stopping=stopping,
             usable=self._usable,
             penalty=self._penalty,
+            remaining_ms=self._remaining_ms,
         )
         for run in await self._upkeep.round(fleet, self._away):
             await self._stop(
--- a/banyantrack/tests/test_work_planner.py
+++ b/banyantrack/tests/test_work_planner.py
@@ -165,6 +165,62 @@
         self.assertEqual([], plan.starts)
         self.assertEqual(1, len(plan.stops))
 
+    def test_gang_that_fits_no_rack_starts_at_once(self):
+        # Found on our day late-and-cut: gangs of one rack waited for racks
+        # that had lost too many workers, to the end of the day.
+        state = builders.state(
+            builders.worker('w1'),
+            builders.worker('w2'),
+            builders.worker('w3', labels=['a', 'r2']),
+        )
+        gang = builders.step(
+            count=3, accelerators=8, gang=True, same_rack=True
+        )
+        builders.submit(state, builders.job('a' * 16, gang))
+        self.assertEqual(3, len(builders.plan(state).starts))
+
+    def test_gang_waits_for_its_rack_but_not_for_long_in_an_idle_pool(self):
+        state = builders.state(
+            *(builders.worker(f'w{number}') for number in range(3)),
+            *(
+                builders.worker(f'w{number}', labels=['a', 'r2'])
+                for number in range(3, 6)
+            ),
+        )
+        for name, rack in (('a', 'r1'), ('b', 'r2')):
+            whole = builders.step(
+                accelerators=8, required_label=rack, estimated_ms=30_000
+            )
+            builders.submit(state, builders.job(name * 16, whole))
+            builders.start(state, builders.plan(state))
+        gang = builders.step(
+            count=3,
+            accelerators=8,
+            gang=True,
+            same_rack=True,
+            estimated_ms=30_000,
+        )
+        builders.submit(state, builders.job('c' * 16, gang))
+        soon_ms = builders.NOW_MS + 100
+        self.assertEqual([], builders.plan(state, now_ms=soon_ms).starts)
+        later_ms = builders.NOW_MS + planner_module.IDLE_PATIENCE_MS
+        starts = builders.plan(state, now_ms=later_ms).starts
+        self.assertEqual(3, len(starts))
+
+    def test_run_that_ends_soon_is_not_stopped(self):
+        state = builders.state(builders.worker('w1'))
+        whole = builders.step(accelerators=8)
+        builders.submit(state, builders.job('a' * 16, whole))
+        builders.start(state, builders.plan(state))
+        builders.submit(state, builders.job('b' * 16, whole), name='urgent')
+        for remaining_ms, stops in ((200.0, 0), (400.0, 1)):
+            plan = builders.plan(state, remaining_ms=remaining_ms)
+            self.assertEqual(stops, len(plan.stops))
+            self.assertEqual([], plan.starts)
+        late_ms = builders.NOW_MS + planner_module.AWAIT_MS
+        plan = builders.plan(state, now_ms=late_ms, remaining_ms=200.0)
+        self.assertEqual(1, len(plan.stops))
+
     def test_policy_service_is_asked_first(self):
         state = builders.state(builders.worker('w1'), builders.worker('w2'))
         advised = builders.queue(
--- a/banyantrack/tests/test_work_progress.py
+++ b/banyantrack/tests/test_work_progress.py
@@ -82,6 +82,7 @@
             stopping=(),
             usable=lambda _: True,
             penalty=lambda _: 0.0,
+            remaining_ms=lambda _: None,
         )
         return waves.plan_waves(
             state,
@@ -159,3 +160,15 @@
         ]
         state.apply(ttypes.WorkCommand(begun=begun), builders.NOW_MS)
         self.assertEqual([1], self.plan(state).completed)
+
+
+class TestRemaining(testtools.TestCase):
+    def test_remaining_time_follows_the_pace(self):
+        watch = progress.ProgressWatch()
+        run = layout.RunId(layout.TaskId('a' * 16, 0, 0, 0), 1)
+        watch.observe('w1', {run: 10}, 1.0)
+        self.assertIsNone(watch.remaining_ms('w1', run, 1.0))
+        watch.observe('w1', {run: 30}, 2.0)
+        self.assertAlmostEqual(3500.0, watch.remaining_ms('w1', run, 2.0))
+        self.assertAlmostEqual(3000.0, watch.remaining_ms('w1', run, 2.5))
+        self.assertIsNone(watch.remaining_ms('w2', run, 2.0))
--- a/banyantrack/workload/planner.py
+++ b/banyantrack/workload/planner.py
@@ -13,6 +13,7 @@
 import typing
 
 from banyantrack.generated.workload import ttypes
+from banyantrack.workload import availability
 from banyantrack.workload import layout
 from banyantrack.workload import reclaim
 from banyantrack.workload import room as room_module
@@ -26,6 +27,11 @@
 
 # A guaranteed job must begin within some three seconds, wherever it is.
 GUARANTEED_PATIENCE_MS = 1500
+# Where most of a pool is free, nothing waits longer for a better place.
+IDLE_PATIENCE_MS = 2000
+# Urgent tasks wait this long for runs that end by themselves before others
+# are stopped; declared run times are too far off to use up the objective.
+AWAIT_MS = 250
 
 
 class Cause(enum.Enum):
@@ -64,12 +70,14 @@
     Attributes:
         starts: Runs to start.
         stops: Runs to stop.
+        awaited: Runs whose room is set aside for when they have ended.
         waiting: Why units wait, by group.
         advice_wanted: Groups whose policy service has to be asked.
     """
 
     starts: list[ttypes.RunStart] = dataclasses.field(default_factory=list)
     stops: list[reclaim.Stop] = dataclasses.field(default_factory=list)
+    awaited: set[layout.RunId] = dataclasses.field(default_factory=set)
     waiting: dict[layout.GroupKey, Waiting] = dataclasses.field(
         default_factory=dict
     )
@@ -163,7 +171,8 @@
             if room.usable and _may_run(room, unit, allowed)
         ]
         need = room_module.need_of(unit.step)
-        chosen = self._choose(unit, candidates, need, now_ms)
+        idle = fleet.idle(unit.record.queue.pool)
+        chosen = self._choose(unit, candidates, need, now_ms, idle)
         if unit.step.gang and len(chosen) < len(unit.members):
             chosen = []
         for index, room in zip(unit.members, chosen, strict=False):
@@ -186,40 +195,61 @@
         candidates: list[room_module.WorkerRoom],
         need: room_module.Amount,
         now_ms: int,
+        idle: bool,
     ) -> list[room_module.WorkerRoom]:
         """Returns a worker for each member, as far as there is room."""
         step = unit.step
-        # Waiting pays while it takes less time than running remotely would.
-        patience_ms = (self._remote_factor - 1) * self._durations.expected_ms(
-            unit.record, step
-        )
-        if unit.guaranteed:
-            patience_ms = min(patience_ms, GUARANTEED_PATIENCE_MS)
-        patient = now_ms - unit.due_ms < patience_ms
-        near = candidates
-        if step.data_rack:
-            near = [room for room in near if room.rack == step.data_rack]
-        if step.gang and step.same_rack:
-            racks = collections.defaultdict(list)
-            for room in near:
-                racks[room.rack].append(room)
-            found = [
-                _spread(unit, rooms, need, len(unit.members))
-                for rooms in racks.values()
-            ]
-            whole = [f for f in found if len(f) == len(unit.members)]
-            if whole:
-                return min(whole, key=_tightness)
-        else:
-            found = _spread(unit, near, need, len(unit.members))
-            if len(found) == len(unit.members) or near is candidates:
-                return found
-            if patient:
-                return found
-        if patient and near:
-            return []
+        together = _together(unit, candidates)
+        found = [
+            _spread(unit, rooms, need, len(unit.members)) for rooms in together
+        ]
+        whole = [f for f in found if len(f) == len(unit.members)]
+        if whole:
+            return min(whole, key=_tightness)
+        if together == [candidates]:
+            return found[0]
+        if self._better_waits(unit, together, need, now_ms, idle):
+            return [] if step.gang or not found else found[0]
         return _spread(unit, candidates, need, len(unit.members))
 
+    def _better_waits(
+        self,
+        unit: units_module.Unit,
+        together: list[list[room_module.WorkerRoom]],
+        need: room_module.Amount,
+        now_ms: int,
+        idle: bool,
+    ) -> bool:
+        """Whether to wait for a near place rather than start far away."""
+        waited_ms = now_ms - unit.due_ms
+        if idle and waited_ms >= IDLE_PATIENCE_MS:
+            return False
+        if unit.guaranteed and waited_ms >= GUARANTEED_PATIENCE_MS:
+            return False
+        near_ms = min(
+            (
+                availability.ready_in_ms(
+                    rooms,
+                    need,
+                    len(unit.members),
+                    limit=unit.step.max_per_worker,
+                    left_ms=lambda run: self._left_ms(run, now_ms),
+                )
+                for rooms in together
+            ),
+            default=float('inf'),
+        )
+        if near_ms == float('inf'):
+            return False
+        far_ms = self._remote_factor * unit.expected_ms
+        near_worth = unit.worth_after(near_ms + unit.expected_ms)
+        # Running far away takes room from others for longer, too.
+        return near_worth >= unit.worth_after(far_ms)
+
+    def _left_ms(self, run: room_module.LiveRun, now_ms: int) -> float:
+        expected_ms = self._durations.expected_ms(run.record, run.step)
+        return availability.remaining_ms(run, expected_ms, now_ms)
+
     def _make_room(
         self,
         plan: Plan,
@@ -235,6 +265,8 @@
             Whether there will be room for all of them.
         """
         taken = {layout.RunId(stop.key, stop.run) for stop in plan.stops}
+        taken |= plan.awaited
+        wait_ms = min(unit.latest_ms, unit.due_ms + AWAIT_MS) - now_ms
         for rooms in _near_first(unit, candidates):
             ways = [
                 reclaim.free_room(
@@ -242,6 +274,7 @@
                     among,
                     count,
                     now_ms=now_ms,
+                    wait_ms=wait_ms,
                     stopping=stopping,
                     taken=taken,
                 )
@@ -256,26 +289,36 @@
                 return False
             best.set_aside(room_module.need_of(unit.step))
             plan.stops.extend(best.stops)
+            plan.awaited |= best.awaited
             return best.members == count
         return False
 
 
-def _near_first(
+def _together(
     unit: units_module.Unit, candidates: list[room_module.WorkerRoom]
-) -> list[list[list[room_module.WorkerRoom]]]:
-    """Returns sets of workers to try together, the nearest ones first."""
-    tries = []
+) -> list[list[room_module.WorkerRoom]]:
+    """Returns sets of workers; a unit runs fast within one of them."""
     near = candidates
     if unit.step.data_rack:
         near = [r for r in candidates if r.rack == unit.step.data_rack]
-        tries.append([near])
-    if unit.step.gang and unit.step.same_rack:
-        racks: dict[str, list[room_module.WorkerRoom]] = {}
-        for room in near:
-            racks.setdefault(room.rack, []).append(room)
-        tries.append(list(racks.values()))
+    if not (unit.step.gang and unit.step.same_rack):
+        return [near]
+    racks: dict[str, list[room_module.WorkerRoom]] = {}
+    for room in near:
+        racks.setdefault(room.rack, []).append(room)
+    return list(racks.values())
+
+
+def _near_first(
+    unit: units_module.Unit, candidates: list[room_module.WorkerRoom]
+) -> list[list[list[room_module.WorkerRoom]]]:
+    """Returns sets of workers to try together, the nearest ones first."""
+    together = _together(unit, candidates)
+    tries = [together]
+    if unit.step.data_rack and len(together) > 1:
+        tries.append([[room for rooms in together for room in rooms]])
     tries.append([candidates])
-    return [rooms for rooms in tries if rooms]
+    return [rooms for rooms in tries if rooms and rooms[0]]
 
 
 def _waiting(
--- a/banyantrack/workload/progress.py
+++ b/banyantrack/workload/progress.py
@@ -27,6 +27,8 @@
 class _Pace:
     percent: int
     at_s: float
+    first_percent: int
+    first_at_s: float
     best: float = 0.0
     slow: bool = False
 
@@ -53,7 +55,7 @@
         """
         before = self._paces.get(worker_id, {})
         paces = {
-            run: before.get(run) or _Pace(percent, now_s)
+            run: before.get(run) or _Pace(percent, now_s, percent, now_s)
             for run, percent in percents.items()
         }
         self._paces[worker_id] = paces
@@ -70,6 +72,28 @@
         if slow and 2 * slow > len(paces):
             self._slow_until_s[worker_id] = now_s + SLOW_S
 
+    def remaining_ms(
+        self, worker_id: str, run: layout.RunId, now_s: float
+    ) -> float | None:
+        """Returns how much longer a run takes at its pace so far.
+
+        Args:
+            worker_id: The worker.
+            run: The run.
+            now_s: Steady time in seconds.
+
+        Returns:
+            None if its pace is not known.
+        """
+        pace = self._paces.get(worker_id, {}).get(run)
+        if pace is None or pace.percent <= pace.first_percent:
+            return None
+        rate = (pace.percent - pace.first_percent) / (
+            pace.at_s - pace.first_at_s
+        )
+        left_s = (100 - pace.percent) / rate - (now_s - pace.at_s)
+        return max(left_s * 1000, 0.0)
+
     def is_slow(self, worker_id: str, now_s: float) -> bool:
         """Whether a worker has been slow of late."""
         return self._slow_until_s.get(worker_id, 0.0) > now_s
--- a/banyantrack/workload/reclaim.py
+++ b/banyantrack/workload/reclaim.py
@@ -46,7 +46,8 @@
         loss: Worth of the work that is thrown away.
         stops: Runs to stop.
         rooms: The worker of each task.
-        freed: Worker and amount that each stop frees.
+        freed: Worker and amount that each end frees.
+        awaited: Runs that will have ended soon enough by themselves.
     """
 
     members: int = 0
@@ -58,6 +59,7 @@
     freed: list[tuple[room_module.WorkerRoom, room_module.Amount]] = (
         dataclasses.field(default_factory=list)
     )
+    awaited: set[layout.RunId] = dataclasses.field(default_factory=set)
 
     def set_aside(self, need: room_module.Amount) -> None:
         """Keeps the room for the tasks for the rest of a round."""
@@ -73,6 +75,7 @@
     count: int,
     *,
     now_ms: int,
+    wait_ms: float,
     stopping: collections.abc.Container[layout.RunId],
     taken: collections.abc.Container[layout.RunId],
 ) -> Way:
@@ -83,14 +86,20 @@
         candidates: Workers that may run them.
         count: Number of tasks.
         now_ms: Time of day.
+        wait_ms: How long the tasks may wait for runs that end by themselves.
         stopping: Runs that are being stopped.
-        taken: Runs that this round stops already.
+        taken: Runs whose room this round has set aside already.
     """
     way = Way()
     need = room_module.need_of(unit.step)
     later = {id(room): room.later.copy() for room in candidates}
     by_id = {room.record.worker_id: room for room in candidates}
     stopped: set[layout.RunId] = set()
+    awaited = _awaited(candidates, wait_ms, stopping, taken)
+    for room, runs in awaited.items():
+        for run in runs:
+            later[id(room)].add(room_module.need_of(run.step))
+            stopped.add(layout.RunId(run.key, run.task.run))
     limit = unit.step.max_per_worker
     while way.members < count:
         best: tuple[float, room_module.WorkerRoom, list] | None = None
@@ -139,9 +148,34 @@
         later[id(room)].take(need)
         way.rooms.append(room)
         way.members += 1
+    for room in set(way.rooms):
+        for run in awaited.get(room, ()):
+            way.awaited.add(layout.RunId(run.key, run.task.run))
+            way.freed.append((room, room_module.need_of(run.step)))
     return way
 
 
+def _awaited(
+    candidates: collections.abc.Sequence[room_module.WorkerRoom],
+    wait_ms: float,
+    stopping: collections.abc.Container[layout.RunId],
+    taken: collections.abc.Container[layout.RunId],
+) -> dict[room_module.WorkerRoom, list[room_module.LiveRun]]:
+    """Returns, by worker, runs that will have ended within a time."""
+    found: dict[room_module.WorkerRoom, list[room_module.LiveRun]] = {}
+    for room in candidates:
+        for run in room.runs:
+            run_id = layout.RunId(run.key, run.task.run)
+            if (
+                run.remaining_ms is not None
+                and run.remaining_ms <= wait_ms
+                and run_id not in stopping
+                and run_id not in taken
+            ):
+                found.setdefault(room, []).append(run)
+    return found
+
+
 def _victims(
     room: room_module.WorkerRoom,
     unit: units_module.Unit,
--- a/banyantrack/workload/room.py
+++ b/banyantrack/workload/room.py
@@ -64,7 +64,7 @@
     return Amount(step.accelerators, cpu_milli, step.memory_mb)
 
 
-@dataclasses.dataclass(slots=True)
+@dataclasses.dataclass(eq=False, slots=True)
 class LiveRun:
     """A run that takes room on a worker.
 
@@ -74,6 +74,8 @@
         step: Its step.
         task: Its record.
         guaranteed: Whether its customer's guarantee covers the job.
+        remaining_ms: How much longer it will run, as its progress tells;
+            None if that is not known.
     """
 
     key: layout.TaskId
@@ -81,9 +83,10 @@
     step: ttypes.Step
     task: ttypes.TaskRecord
     guaranteed: bool
+    remaining_ms: float | None = None
 
 
-@dataclasses.dataclass(slots=True)
+@dataclasses.dataclass(eq=False, slots=True)
 class WorkerRoom:
     """One worker in one round of planning.
 
@@ -120,6 +123,8 @@
         stopping: Runs that are being stopped.
         usable: Tells whether new runs may start on a worker.
         penalty: Returns the preference of a worker.
+        remaining_ms: Returns how much longer a run will take; None if that
+            is not known.
     """
 
     def __init__(
@@ -129,7 +134,9 @@
         stopping: collections.abc.Container[layout.RunId],
         usable: collections.abc.Callable[[ttypes.WorkerRecord], bool],
         penalty: collections.abc.Callable[[str], float],
+        remaining_ms: collections.abc.Callable[[LiveRun], float | None],
     ) -> None:
+        self._remaining_ms = remaining_ms
         self._workers: dict[str, WorkerRoom] = {}
         self._by_pool: dict[str, list[WorkerRoom]] = collections.defaultdict(
             list
@@ -162,6 +169,23 @@
         """Returns the workers of a pool."""
         return self._by_pool.get(pool, [])
 
+    def idle(self, pool: str) -> bool:
+        """Whether less than half of each resource of a pool is in use."""
+        total, free = Amount(0, 0, 0), Amount(0, 0, 0)
+        for room in self.of_pool(pool):
+            record = room.record
+            total.add(
+                Amount(record.accelerators, record.cpu_milli, record.memory_mb)
+            )
+            free.add(room.free)
+        return free.fits(
+            Amount(
+                total.accelerators // 2,
+                total.cpu_milli // 2,
+                total.memory_mb // 2,
+            )
+        )
+
     def __iter__(self) -> collections.abc.Iterator[WorkerRoom]:
         return iter(self._workers.values())
 
@@ -180,7 +204,9 @@
             step = record.job.steps[key.step]
             need = need_of(step)
             room.free.take(need)
-            room.runs.append(LiveRun(key, record, step, task, guaranteed))
+            run = LiveRun(key, record, step, task, guaranteed)
+            run.remaining_ms = self._remaining_ms(run)
+            room.runs.append(run)
             if layout.RunId(key, task.run) not in stopping:
                 room.later.take(need)
 
--- a/banyantrack/workload/units.py
+++ b/banyantrack/workload/units.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import dataclasses
+import functools
 import typing
 
 from banyantrack.generated.workload import ttypes
@@ -31,9 +32,11 @@
             that belong to its customer.
         due_ms: When the group could start, in milliseconds since 1970.
         latest_ms: When it must start to end within its objective.
-        work: Accelerator-milliseconds that its tasks are expected to take.
+        expected_ms: How long one of its tasks is expected to run.
         worth: What the job is worth if the unit starts now.
         waits_worth: What it is worth if it misses its latest start.
+        worth_after: Returns what it is worth if the unit ends so many
+            milliseconds from now.
     """
 
     record: ttypes.JobRecord
@@ -43,9 +46,10 @@
     guaranteed: bool
     due_ms: int
     latest_ms: float
-    work: float
+    expected_ms: float
     worth: float
     waits_worth: float
+    worth_after: collections.abc.Callable[[float], float]
 
     @property
     def priority(self) -> int:
@@ -129,20 +133,18 @@
                     continue
                 each_ms = durations.expected_ms(record, step)
                 latest_ms = due_ms + objective_ms - tails[number]
-                worth = values.worth(
+                # What comes after the unit itself.
+                rest_ms = tails[number] - each_ms
+                worth_after = functools.partial(
+                    _worth_after,
+                    values,
                     record,
                     whole,
-                    ends_ms=now_ms + tails[number],
-                    due_ms=due_ms,
-                    objective_ms=objective_ms,
-                )
-                waits_worth = values.worth(
-                    record,
-                    whole,
-                    ends_ms=max(latest_ms, now_ms) + tails[number] + 1,
+                    ends_from_ms=now_ms + rest_ms,
                     due_ms=due_ms,
                     objective_ms=objective_ms,
                 )
+                missed_ms = max(latest_ms - now_ms, 0) + each_ms + 1
                 found.append(
                     Unit(
                         record=record,
@@ -152,15 +154,35 @@
                         guaranteed=job.job_id in covered,
                         due_ms=due_ms,
                         latest_ms=latest_ms,
-                        work=len(members) * step.accelerators * each_ms,
-                        worth=worth,
-                        waits_worth=waits_worth,
+                        expected_ms=each_ms,
+                        worth=worth_after(each_ms),
+                        waits_worth=worth_after(missed_ms),
+                        worth_after=worth_after,
                     )
                 )
     found.sort(key=lambda unit: _order(unit, now_ms))
     return found
 
 
+def _worth_after(
+    values: values_module.Values,
+    record: ttypes.JobRecord,
+    whole: float,
+    passed_ms: float,
+    *,
+    ends_from_ms: float,
+    due_ms: int,
+    objective_ms: float,
+) -> float:
+    return values.worth(
+        record,
+        whole,
+        ends_ms=ends_from_ms + passed_ms,
+        due_ms=due_ms,
+        objective_ms=objective_ms,
+    )
+
+
 def _ready_members(
     record: ttypes.JobRecord, key: layout.GroupKey, step: ttypes.Step
 ) -> list[int]:
