--- a/banyantrack/workload/reclaim.py
+++ b/banyantrack/workload/reclaim.py
@@ -111,6 +111,7 @@
                 unit,
                 later[id(room)],
                 need,
+                now_ms,
                 lambda run_id: (
                     run_id in taken or run_id in stopping or run_id in stopped
                 ),
@@ -181,6 +182,7 @@
     unit: units_module.Unit,
     later: room_module.Amount,
     need: room_module.Amount,
+    now_ms: int,
     ending: collections.abc.Callable[[layout.RunId], bool],
 ) -> list[room_module.LiveRun] | None:
     """Returns the runs whose end makes room for one task, or None."""
@@ -188,7 +190,7 @@
         return []
     left = later.copy()
     victims: list[room_module.LiveRun] = []
-    for run in sorted(room.runs, key=lambda r: -r.step.accelerators):
+    for run in sorted(room.runs, key=lambda r: _loss_each(r, now_ms)):
         if ending(layout.RunId(run.key, run.task.run)):
             continue
         if not _may_stop(run, unit):
@@ -207,7 +209,8 @@
 ) -> list[room_module.LiveRun]:
     """Leaves out victims without whom there is room enough, too."""
     kept = list(victims)
-    for run in victims:
+    # Those that throw away most were found last.
+    for run in reversed(victims):
         others = [other for other in kept if other is not run]
         left = later.copy()
         for other in others:
@@ -244,6 +247,11 @@
     ]
 
 
+def _loss_each(run: room_module.LiveRun, now_ms: int) -> float:
+    """Returns what stopping a run throws away for each accelerator."""
+    return _loss([run], now_ms) / max(run.step.accelerators, 1)
+
+
 def _loss(victims: list[room_module.LiveRun], now_ms: int) -> float:
     """Returns what the work that is thrown away with runs was worth.
 
