--- a/banyantrack/daemons/work_session.py
+++ b/banyantrack/daemons/work_session.py
@@ -320,10 +320,8 @@
                 kind=ttypes.EndKind.LOST,
                 checkpoint=self._saved.get(key, ''),
             )
-            for record in self._state.active.values()
-            for key, task in layout.iterate(record)
-            if task.worker_id
-            and self._is_gone(task)
+            for key, _, task in self._state.all_live_runs()
+            if self._is_gone(task)
             and layout.RunId(key, task.run) not in self._strays
         ]
         if lost:
@@ -470,44 +468,41 @@
     async def _send_paces(self) -> None:
         """Tells workers the paces of the filling tasks that run there."""
         alive: set[layout.RunId] = set()
-        for record in list(self._state.active.values()):
-            for key, task in layout.iterate(record):
-                step = record.job.steps[key.step]
-                link = self._links.get(task.worker_id)
-                if not step.fills or link is None:
-                    continue
-                run_id = layout.RunId(key, task.run)
-                alive.add(run_id)
-                percent = self._pacer.percent(task.worker_id)
-                if not link.is_confirmed(key, task.run):
-                    continue
-                if self._paces.get(run_id, FULL_PACE) != percent:
-                    self._paces[run_id] = percent
-                    await link.pace(key, task.run, percent)
+        for key, record, task in self._state.all_live_runs():
+            link = self._links.get(task.worker_id)
+            if not record.job.steps[key.step].fills or link is None:
+                continue
+            run_id = layout.RunId(key, task.run)
+            alive.add(run_id)
+            percent = self._pacer.percent(task.worker_id)
+            if not link.is_confirmed(key, task.run):
+                continue
+            if self._paces.get(run_id, FULL_PACE) != percent:
+                self._paces[run_id] = percent
+                await link.pace(key, task.run, percent)
         for run_id in self._paces.keys() - alive:
             del self._paces[run_id]
 
     async def _send_unsent(self) -> None:
         """Sends runs whose record was agreed after we gave up waiting."""
-        for record in list(self._state.active.values()):
-            if record.state in state_module.FINISHED:
+        for key, record, task in self._state.all_live_runs():
+            link = self._links.get(task.worker_id)
+            if (
+                record.state in state_module.FINISHED
+                or link is None
+                or link.knows(key, task.run)
+            ):
                 continue
-            for key, task in layout.iterate(record):
-                if not task.worker_id:
-                    continue
-                link = self._links.get(task.worker_id)
-                if link is None or link.knows(key, task.run):
-                    continue
-                await link.start(
-                    ttypes.RunStart(
-                        task=layout.task_key(key),
-                        run=task.run,
-                        worker_id=task.worker_id,
-                        incarnation=task.incarnation,
-                        checkpoint=task.checkpoint,
-                        ticket=task.ticket,
-                    )
+            await link.start(
+                ttypes.RunStart(
+                    task=layout.task_key(key),
+                    run=task.run,
+                    worker_id=task.worker_id,
+                    incarnation=task.incarnation,
+                    checkpoint=task.checkpoint,
+                    ticket=task.ticket,
                 )
+            )
 
     async def _stop(
         self, key: layout.TaskId, run: int, worker_id: str, reason: str
@@ -534,22 +529,16 @@
         """Stops runs of finished jobs and of gangs that are not whole."""
         now_s = clock.steady_s()
         limit_s = GANG_SHARE * self._options.gang_ms / 1000
-        for record in list(self._state.active.values()):
+        for key, record, task in self._state.all_live_runs():
             if record.state == ttypes.JobState.COMPLETED:
                 # What is still listed as alive ends by itself.
                 continue
-            finished = record.state in state_module.FINISHED
-            for key, task in layout.iterate(record):
-                if not task.worker_id:
-                    continue
-                if finished:
-                    await self._stop(
-                        key, task.run, task.worker_id, 'job finished'
-                    )
-                elif self._is_broken(record, key, task, now_s, limit_s):
-                    await self._stop(
-                        key, task.run, task.worker_id, 'gang not whole'
-                    )
+            if record.state in state_module.FINISHED:
+                await self._stop(key, task.run, task.worker_id, 'job finished')
+            elif self._is_broken(record, key, task, now_s, limit_s):
+                await self._stop(
+                    key, task.run, task.worker_id, 'gang not whole'
+                )
         for group in list(self._gangs):
             record = self._state.active.get(group.job_id)
             if record is None:
--- a/banyantrack/tests/test_work_planner.py
+++ b/banyantrack/tests/test_work_planner.py
@@ -8,6 +8,7 @@
 from banyantrack.testing import work_builders as builders
 from banyantrack.workload import layout
 from banyantrack.workload import planner as planner_module
+from banyantrack.workload import state as state_module
 
 End = ttypes.EndKind
 
@@ -302,6 +303,30 @@
         task = state.task(layout.task_id(second.task))
         self.assertEqual((False, 2), (task.done, task.run))
 
+    def test_live_runs_are_those_of_the_jobs(self):
+        state = builders.state(builders.worker('w1'), builders.worker('w2'))
+        gang = builders.step(count=4, accelerators=4, gang=True)
+        builders.submit(state, builders.job('a' * 16, gang))
+        builders.submit(state, builders.job('b' * 16, builders.step(count=2)))
+        first = builders.start(state, builders.plan(state))
+        for ended in (first[0], first[-1]):
+            builders.end(state, ended, End.STOPPED)
+            builders.start(state, builders.plan(state))
+            restored = state_module.WorkState()
+            restored.restore(state.snapshot())
+            for made in (state, restored):
+                expected = {
+                    (key, task.worker_id, task.run)
+                    for record in made.jobs.values()
+                    for key, task in layout.iterate(record)
+                    if task.worker_id
+                }
+                found = {
+                    (run.key, run.task.worker_id, run.task.run)
+                    for run in made.all_live_runs()
+                }
+                self.assertEqual(expected, found)
+
     def test_same_id_is_one_job(self):
         state = builders.state()
         builders.submit(state, builders.job('a' * 16))
--- a/banyantrack/workload/reclaim.py
+++ b/banyantrack/workload/reclaim.py
@@ -69,6 +69,14 @@
             room.place(need)
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Offer:
+    """Room for one task on a worker, and what it costs."""
+
+    loss: float
+    victims: list[room_module.LiveRun]
+
+
 def free_room(
     unit: units_module.Unit,
     candidates: collections.abc.Sequence[room_module.WorkerRoom],
@@ -101,9 +109,11 @@
             later[id(room)].add(room_module.need_of(run.step))
             stopped.add(layout.RunId(run.key, run.task.run))
     limit = unit.step.max_per_worker
+    offers: dict[room_module.WorkerRoom, _Offer] = {}
+    changed = set(candidates)
     while way.members < count:
-        best: tuple[float, room_module.WorkerRoom, list] | None = None
-        for room in candidates:
+        for room in changed:
+            offers.pop(room, None)
             if limit and way.rooms.count(room) >= limit:
                 continue
             victims = _victims(
@@ -116,18 +126,17 @@
                     run_id in taken or run_id in stopping or run_id in stopped
                 ),
             )
-            if victims is None:
-                continue
-            loss = _loss(victims, now_ms)
-            # Among equal ones, the worker that is fullest afterwards.
-            loss += 1e-6 * later[id(room)].accelerators
-            if best is None or loss < best[0]:
-                best = (loss, room, victims)
-        if best is None:
+            if victims is not None:
+                # Among equal ones, the worker that is fullest afterwards.
+                loss = _loss(victims, now_ms)
+                loss += 1e-6 * later[id(room)].accelerators
+                offers[room] = _Offer(loss, victims)
+        if not offers:
             break
-        loss, room, victims = best
-        way.loss += loss
-        for run in victims:
+        room = min(offers, key=lambda r: (offers[r].loss, r.record.worker_id))
+        changed = {room}
+        way.loss += offers[room].loss
+        for run in offers[room].victims:
             for member in _with_gang(run):
                 run_id = layout.RunId(member.key, member.task.run)
                 if run_id in stopped:
@@ -143,6 +152,7 @@
                 )
                 holder = by_id.get(member.task.worker_id)
                 if holder is not None:
+                    changed.add(holder)
                     amount = room_module.need_of(member.step)
                     later[id(holder)].add(amount)
                     way.freed.append((holder, amount))
--- a/banyantrack/workload/room.py
+++ b/banyantrack/workload/room.py
@@ -158,8 +158,8 @@
             self._workers[worker.worker_id] = room
             self._by_pool[worker.pool].append(room)
         covered = guarantees.covered_jobs(state)
-        for record in state.active.values():
-            self._add_runs(record, stopping, record.job.job_id in covered)
+        for live in state.all_live_runs():
+            self._add_run(live, stopping, live.key.job_id in covered)
 
     def get(self, worker_id: str) -> WorkerRoom | None:
         """Returns a worker, or None."""
@@ -189,26 +189,23 @@
     def __iter__(self) -> collections.abc.Iterator[WorkerRoom]:
         return iter(self._workers.values())
 
-    def _add_runs(
+    def _add_run(
         self,
-        record: ttypes.JobRecord,
+        live: state_module.LiveRun,
         stopping: collections.abc.Container[layout.RunId],
         guaranteed: bool,
     ) -> None:
-        for key, task in layout.iterate(record):
-            if not task.worker_id:
-                continue
-            room = self._workers.get(task.worker_id)
-            if room is None:
-                continue
-            step = record.job.steps[key.step]
-            need = need_of(step)
-            room.free.take(need)
-            run = LiveRun(key, record, step, task, guaranteed)
-            run.remaining_ms = self._remaining_ms(run)
-            room.runs.append(run)
-            if layout.RunId(key, task.run) not in stopping:
-                room.later.take(need)
+        room = self._workers.get(live.task.worker_id)
+        if room is None:
+            return
+        step = live.record.job.steps[live.key.step]
+        need = need_of(step)
+        room.free.take(need)
+        run = LiveRun(live.key, live.record, step, live.task, guaranteed)
+        run.remaining_ms = self._remaining_ms(run)
+        room.runs.append(run)
+        if layout.RunId(live.key, live.task.run) not in stopping:
+            room.later.take(need)
 
 
 def rack_of(worker: ttypes.WorkerRecord) -> str:
--- a/banyantrack/workload/state.py
+++ b/banyantrack/workload/state.py
@@ -26,6 +26,20 @@
 FINISHED = frozenset((State.COMPLETED, State.FAILED, State.CANCELLED))
 
 
+class LiveRun(typing.NamedTuple):
+    """A run that may be alive.
+
+    Attributes:
+        key: The task.
+        record: Its job.
+        task: Its record.
+    """
+
+    key: layout.TaskId
+    record: ttypes.JobRecord
+    task: ttypes.TaskRecord
+
+
 class WorkState:
     """Jobs of tasks and the workers that run them."""
 
@@ -34,6 +48,8 @@
         self._router: routing.Router | None = None
         self._jobs: dict[str, ttypes.JobRecord] = {}
         self._active: dict[str, ttypes.JobRecord] = {}
+        # Runs that may be alive, by worker; follows from the jobs.
+        self._runs: dict[str, dict[layout.TaskId, ttypes.TaskRecord]] = {}
         self._workers: dict[str, ttypes.WorkerRecord] = {}
         self._waves: dict[int, ttypes.Wave] = {}
         self._generation = 0
@@ -79,9 +95,16 @@
         """Returns the runs that may be alive on one life of a worker."""
         return [
             (key, task)
-            for record in self._active.values()
-            for key, task in layout.iterate(record)
-            if task.worker_id == worker_id and task.incarnation == incarnation
+            for key, task in self._runs.get(worker_id, {}).items()
+            if task.incarnation == incarnation
+        ]
+
+    def all_live_runs(self) -> list[LiveRun]:
+        """Returns all runs that may be alive, by worker."""
+        return [
+            LiveRun(key, self._jobs[key.job_id], task)
+            for runs in self._runs.values()
+            for key, task in runs.items()
         ]
 
     def apply(self, command: ttypes.WorkCommand, now_ms: int) -> typing.Any:
@@ -135,6 +158,9 @@
         self._waves = {wave.number: wave for wave in snapshot.waves}
         for record in snapshot.jobs:
             self._settle(record)
+            for key, task in layout.iterate(record):
+                if task.worker_id:
+                    self._runs.setdefault(task.worker_id, {})[key] = task
 
     # Configuration and customers' calls.
 
@@ -233,7 +259,8 @@
         record = self._jobs.get(start.task.job_id)
         if record is None or record.state in FINISHED:
             return
-        task = layout.find_task(record, layout.task_id(start.task))
+        key = layout.task_id(start.task)
+        task = layout.find_task(record, key)
         if task is None or task.done or task.worker_id:
             return
         if start.run <= task.run:
@@ -245,6 +272,7 @@
         task.ticket = start.ticket
         task.started_ms = now_ms
         record.state = State.RUNNING
+        self._runs.setdefault(start.worker_id, {})[key] = task
 
     def _apply_end(self, end: ttypes.RunEnd, now_ms: int) -> None:
         record = self._jobs.get(end.task.job_id)
@@ -260,6 +288,9 @@
         ):
             return
         task.worker_id = ''
+        del self._runs[end.worker_id][key]
+        if not self._runs[end.worker_id]:
+            del self._runs[end.worker_id]
         if end.checkpoint:
             task.checkpoint = end.checkpoint
         step = record.job.steps[key.step]
