Runs leave workers that end before them

Change: the time that a draining worker promises to stay is compared with the time that its runs still take (evacuation.py).

--- a/banyantrack/daemons/work_session.py
+++ b/banyantrack/daemons/work_session.py
@@ -18,12 +18,15 @@
 from banyantrack.daemons import worker_link
 from banyantrack.generated.workload import ttypes
 from banyantrack.replication import errors as replication_errors
+from banyantrack.workload import availability
 from banyantrack.workload import durations as durations_module
+from banyantrack.workload import evacuation
 from banyantrack.workload import layout
 from banyantrack.workload import pacing
 from banyantrack.workload import planner as planner_module
 from banyantrack.workload import port as port_module
 from banyantrack.workload import progress
+from banyantrack.workload import reclaim
 from banyantrack.workload import room as room_module
 from banyantrack.workload import state as state_module
 
@@ -128,6 +131,7 @@
         self._gangs: dict[layout.GroupKey, _GangStart] = {}
         self._failed_at: dict[str, list[float]] = {}
         self._silent_at_s: dict[str, float] = {}
+        self._leaves_at_s: dict[str, float] = {}
         self._at_work: dict[layout.TaskId, int] = {}
         self._saved: dict[layout.TaskId, str] = {}
         self._waiting: dict[layout.GroupKey, planner_module.Waiting] = {}
@@ -297,6 +301,10 @@
             and link.record.incarnation == report.worker.incarnation
         ):
             link.note_clock(report.clock_ms)
+        if report.worker.state == ttypes.WorkerState.DRAINING:
+            self._leaves_at_s[report.worker.worker_id] = (
+                clock.steady_s() + report.remaining_ms / 1000
+            )
 
     async def _follow_workers(self) -> None:
         """Opens links to new workers and closes those to old ones."""
@@ -309,6 +317,7 @@
             ):
                 continue
             self._note_stray(link)
+            self._leaves_at_s.pop(worker_id, None)
             await link.close()
             del self._links[worker_id]
         for worker in list(self._state.workers.values()):
@@ -413,6 +422,7 @@
             penalty=self._penalty,
             remaining_ms=self._remaining_ms,
         )
+        await self._evacuate(fleet)
         for run in await self._upkeep.round(fleet, self._away):
             await self._stop(
                 run.key, run.task.run, run.task.worker_id, 'upkeep'
@@ -435,6 +445,30 @@
         if plan.starts:
             await self._start(plan.starts)
 
+    async def _evacuate(self, fleet: room_module.Fleet) -> None:
+        """Stops runs that cannot end before their worker does."""
+        now_s = clock.steady_s()
+        now_ms = clock.now_ms()
+        for worker_id, at_s in list(self._leaves_at_s.items()):
+            room = fleet.get(worker_id)
+            for run in room.runs if room is not None else ():
+                expected_ms = self._durations.expected_ms(run.record, run.step)
+                if not evacuation.must_leave(
+                    left_ms=availability.remaining_ms(
+                        run, expected_ms, now_ms
+                    ),
+                    stays_ms=(at_s - now_s) * 1000,
+                    checkpointable=run.step.checkpointable,
+                ):
+                    continue
+                for member in reclaim.with_gang(run):
+                    await self._stop(
+                        member.key,
+                        member.task.run,
+                        member.task.worker_id,
+                        f'{worker_id} leaves',
+                    )
+
     def _log_waiting(
         self, waiting: dict[layout.GroupKey, planner_module.Waiting]
     ) -> None:
--- a/banyantrack/tests/test_work_progress.py
+++ b/banyantrack/tests/test_work_progress.py
@@ -7,6 +7,7 @@
 from banyantrack.generated.workload import ttypes
 from banyantrack.testing import work_builders as builders
 from banyantrack.workload import durations
+from banyantrack.workload import evacuation
 from banyantrack.workload import layout
 from banyantrack.workload import pacing
 from banyantrack.workload import progress
@@ -172,3 +173,21 @@
         self.assertAlmostEqual(3500.0, watch.remaining_ms('w1', run, 2.0))
         self.assertAlmostEqual(3000.0, watch.remaining_ms('w1', run, 2.5))
         self.assertIsNone(watch.remaining_ms('w2', run, 2.0))
+
+
+class TestEvacuation(testtools.TestCase):
+    def leaves(self, left_ms: float, stays_ms: float, saves: bool) -> bool:
+        return evacuation.must_leave(
+            left_ms=left_ms, stays_ms=stays_ms, checkpointable=saves
+        )
+
+    def test_run_that_ends_in_time_stays(self) -> None:
+        self.assertFalse(self.leaves(1500, 2000, False))
+        self.assertFalse(self.leaves(1500, 2000, True))
+
+    def test_run_that_saves_nothing_starts_again_at_once(self) -> None:
+        self.assertTrue(self.leaves(8000, 2000, False))
+
+    def test_run_that_saves_goes_on_almost_to_the_end(self) -> None:
+        self.assertFalse(self.leaves(8000, 2000, True))
+        self.assertTrue(self.leaves(8000, 900, True))
--- a/banyantrack/workload/availability.py
+++ b/banyantrack/workload/availability.py
@@ -30,6 +30,8 @@
         expected_ms: How long such a run is expected to take in all.
         now_ms: Time of day.
     """
+    if run.step.long_running:
+        return float('inf')
     if run.remaining_ms is not None:
         return run.remaining_ms
     left_ms = expected_ms - (now_ms - run.task.started_ms)
--- a/banyantrack/workload/reclaim.py
+++ b/banyantrack/workload/reclaim.py
@@ -137,7 +137,7 @@
         changed = {room}
         way.loss += offers[room].loss
         for run in offers[room].victims:
-            for member in _with_gang(run):
+            for member in with_gang(run):
                 run_id = layout.RunId(member.key, member.task.run)
                 if run_id in stopped:
                     continue
@@ -238,7 +238,7 @@
     return unit.guaranteed and not run.guaranteed
 
 
-def _with_gang(run: room_module.LiveRun) -> list[room_module.LiveRun]:
+def with_gang(run: room_module.LiveRun) -> list[room_module.LiveRun]:
     """Returns the runs that end with one: all of its gang."""
     if not run.step.gang:
         return [run]
