Gangs avoid workers that failed them, also in the choice of a rack

The rack of a gang was chosen by how full it is only, and a run that had begun before a worker turned bad forgave its failures when it ended well. Change: racks are compared by the trouble of their workers first; workers that failed a unit are left out while most others remain; a good end forgives only failures from before its run began. Tests: both new ones fail before and pass after.

--- a/banyantrack/daemons/work_session.py
+++ b/banyantrack/daemons/work_session.py
@@ -649,7 +649,7 @@
             return
         step = record.job.steps[key.step]
         if end.kind == ttypes.EndKind.DONE:
-            self._failed_at.pop(end.worker_id, None)
+            self._forgive(end.worker_id, clock.steady_s() - ran_ms / 1000)
             if not end.checkpoint:
                 self._durations.observe(record, step, ran_ms)
         elif end.kind == ttypes.EndKind.FAILED:
@@ -659,6 +659,16 @@
         elif end.kind in (ttypes.EndKind.NEVER, ttypes.EndKind.ALONE):
             self._blocked[key.group] = clock.now_ms() + BACKOFF_MS
 
+    def _forgive(self, worker_id: str, since_s: float) -> None:
+        """Forgets failures before a run began that has ended well."""
+        later = [
+            at_s
+            for at_s in self._failed_at.pop(worker_id, ())
+            if at_s > since_s
+        ]
+        if later:
+            self._failed_at[worker_id] = later
+
     def _away(self, group: layout.GroupKey) -> int:
         record = self._state.active.get(group.job_id)
         if record is None:
--- a/banyantrack/testing/platform_soak.py
+++ b/banyantrack/testing/platform_soak.py
@@ -144,9 +144,13 @@
 
     def _make_proxies(self) -> list[fault_proxy.FaultProxy]:
         proxies = []
-        for executor in self._made.executors:
+        executors = self._made.executors
+        # Ports drawn one by one could be those of the executors.
+        taken = {fault_proxy.port_of(e.address) for e in executors}
+        free = system.free_ports(2 * len(executors))
+        ports = [port for port in free if port not in taken]
+        for executor, port in zip(executors, ports, strict=False):
             host = fault_proxy.host_of(executor.address)
-            port = system.free_ports(1)[0]
             proxy = fault_proxy.FaultProxy(
                 f'{host}:{port}', executor.address, rng=self._rng
             )
--- a/banyantrack/testing/work_builders.py
+++ b/banyantrack/testing/work_builders.py
@@ -135,6 +135,7 @@
     now_ms: int = NOW_MS,
     stopping: collections.abc.Container[layout.RunId] = (),
     remaining_ms: float | None = None,
+    penalties: collections.abc.Mapping[str, float] | None = None,
     approvals: collections.abc.Mapping[
         layout.GroupKey, planner_module.Approvals
     ]
@@ -148,7 +149,7 @@
         target,
         stopping=stopping,
         usable=lambda _: True,
-        penalty=lambda _: 0.0,
+        penalty=lambda worker: (penalties or {}).get(worker.worker_id, 0.0),
         remaining_ms=lambda _: remaining_ms,
     )
     return made.plan(
--- a/banyantrack/tests/test_work_planner.py
+++ b/banyantrack/tests/test_work_planner.py
@@ -275,6 +275,38 @@
             [(2, 'c1'), (2, 'c1')], [(s.run, s.checkpoint) for s in again]
         )
 
+    def test_gang_goes_to_another_rack_than_where_it_failed(self):
+        # Found in incident inc-886b: a gang was started on the same worker
+        # four times in a second, and failed there each time.
+        state = builders.state(
+            builders.worker('w1', accelerators=2),
+            builders.worker('w2', accelerators=2),
+            builders.worker('w3', labels=['a', 'r2']),
+            builders.worker('w4', labels=['a', 'r2']),
+        )
+        gang = builders.step(
+            count=2, accelerators=2, gang=True, same_rack=True
+        )
+        builders.submit(state, builders.job('a' * 16, gang))
+        first = builders.start(state, builders.plan(state))
+        self.assertEqual({'w1', 'w2'}, {s.worker_id for s in first})
+        builders.end(state, first[0], End.FAILED)
+        builders.end(state, first[1], End.BROKEN)
+        again = builders.plan(state).starts
+        self.assertEqual({'w3'}, {start.worker_id for start in again})
+
+    def test_gang_goes_to_the_rack_with_less_trouble(self):
+        state = builders.state(
+            builders.worker('w1', accelerators=4),
+            builders.worker('w2', labels=['a', 'r2']),
+        )
+        gang = builders.step(
+            count=2, accelerators=2, gang=True, same_rack=True
+        )
+        builders.submit(state, builders.job('a' * 16, gang))
+        starts = builders.plan(state, penalties={'w1': 1.0}).starts
+        self.assertEqual({'w2'}, {start.worker_id for start in starts})
+
     def test_job_fails_after_its_attempts(self):
         state = builders.state(builders.worker('w1'))
         builders.submit(state, builders.job('a' * 16))
--- a/banyantrack/workload/planner.py
+++ b/banyantrack/workload/planner.py
@@ -170,6 +170,7 @@
             for room in fleet.of_pool(unit.record.queue.pool)
             if room.usable and _may_run(room, unit, allowed)
         ]
+        candidates = _without_failed(unit, candidates)
         need = room_module.need_of(unit.step)
         idle = fleet.idle(unit.record.queue.pool)
         chosen = self._choose(unit, candidates, need, now_ms, idle)
@@ -205,7 +206,10 @@
         ]
         whole = [f for f in found if len(f) == len(unit.members)]
         if whole:
-            return min(whole, key=_tightness)
+            failed_on = _failed_on(unit)
+            return min(
+                whole, key=lambda f: (_doubt(f, failed_on), _tightness(f))
+            )
         if together == [candidates]:
             return found[0]
         if self._better_waits(unit, together, need, now_ms, idle):
@@ -356,7 +360,7 @@
     limit = unit.step.max_per_worker
     tasks = layout.group_tasks(unit.record, unit.key.occurrence, unit.key.step)
     placed = collections.Counter(task.worker_id for task in tasks)
-    failed_on = {task.last_failed_on for task in tasks if task.failures}
+    failed_on = _failed_on(unit)
     chosen: list[room_module.WorkerRoom] = []
     ordered = sorted(
         candidates,
@@ -383,6 +387,31 @@
     return chosen
 
 
+def _failed_on(unit: units_module.Unit) -> set[str]:
+    """Returns the workers on which tasks of a unit failed last."""
+    tasks = layout.group_tasks(unit.record, unit.key.occurrence, unit.key.step)
+    return {task.last_failed_on for task in tasks if task.failures}
+
+
+def _without_failed(
+    unit: units_module.Unit, candidates: list[room_module.WorkerRoom]
+) -> list[room_module.WorkerRoom]:
+    """Leaves out workers where a unit failed, if most others remain."""
+    failed_on = _failed_on(unit)
+    if not failed_on:
+        return candidates
+    others = [r for r in candidates if r.record.worker_id not in failed_on]
+    return others if 2 * len(others) > len(candidates) else candidates
+
+
+def _doubt(rooms: list[room_module.WorkerRoom], failed_on: set[str]) -> float:
+    """Returns how much speaks against a choice of workers."""
+    return sum(
+        room.penalty + (room.record.worker_id in failed_on)
+        for room in set(rooms)
+    )
+
+
 def _tightness(rooms: list[room_module.WorkerRoom]) -> int:
     """Returns the free accelerators of the workers that are touched."""
     touched = {id(room): room for room in rooms}
