--- a/banyantrack/testing/fake_executor.py
+++ b/banyantrack/testing/fake_executor.py
@@ -194,6 +194,13 @@
         # Orders that are still to be carried out end with this life.
         self._born = 0
 
+    async def close(self) -> None:
+        """Ends and gives its address back."""
+        for task in self._tasks:
+            await task.cancel()
+        if self._server is not None:
+            await self._server.close()
+
     async def _beat_loop(self) -> None:
         turn = 0
         while True:
--- a/banyantrack/testing/fault_proxy.py
+++ b/banyantrack/testing/fault_proxy.py
@@ -103,8 +103,3 @@
 def host_of(address: str) -> str:
     """Returns the host of an address."""
     return addresses.parse(address).host
-
-
-def port_of(address: str) -> int:
-    """Returns the port of an address."""
-    return addresses.parse(address).port
--- a/banyantrack/testing/platform_soak.py
+++ b/banyantrack/testing/platform_soak.py
@@ -114,6 +114,24 @@
         """Runs the whole schedule and returns the verdict."""
         for proxy in self._proxies:
             await proxy.start()
+        try:
+            await self._play()
+        finally:
+            for proxy in self._proxies:
+                await proxy.close()
+        self.broken += self._made.observer.broken
+        self._check_refused()
+        return {
+            'jobs': len(self._jobs),
+            'accepted': sum(h.accepted for h in self._jobs.values()),
+            'configurations': self._acknowledged,
+            'starts': len(self._made.observer.starts),
+            'alone': len(self._made.observer.alone),
+            'faults': dict(self.faults),
+            'broken': self.broken,
+        }
+
+    async def _play(self) -> None:
         async with self._made.running():
             for process in self._made.control:
                 process.settings['platform']['first_start'] = False
@@ -130,26 +148,11 @@
                 await task.join()
             await self._settle()
             await supervisor.cancel()
-        self.broken += self._made.observer.broken
-        self._check_refused()
-        return {
-            'jobs': len(self._jobs),
-            'accepted': sum(h.accepted for h in self._jobs.values()),
-            'configurations': self._acknowledged,
-            'starts': len(self._made.observer.starts),
-            'alone': len(self._made.observer.alone),
-            'faults': dict(self.faults),
-            'broken': self.broken,
-        }
 
     def _make_proxies(self) -> list[fault_proxy.FaultProxy]:
         proxies = []
-        executors = self._made.executors
-        # Ports drawn one by one could be those of the executors.
-        taken = {fault_proxy.port_of(e.address) for e in executors}
-        free = system.free_ports(2 * len(executors))
-        ports = [port for port in free if port not in taken]
-        for executor, port in zip(executors, ports, strict=False):
+        for executor in self._made.executors:
+            port = system.free_ports(1)[0]
             host = fault_proxy.host_of(executor.address)
             proxy = fault_proxy.FaultProxy(
                 f'{host}:{port}', executor.address, rng=self._rng
--- a/banyantrack/testing/platform_system.py
+++ b/banyantrack/testing/platform_system.py
@@ -171,6 +171,8 @@
         finally:
             for process in self.processes:
                 process.kill()
+            for executor in self.executors:
+                await executor.close()
 
     def log_text(self) -> str:
         """Returns what all daemons have logged."""
--- a/benchmarks/jobs.py
+++ b/benchmarks/jobs.py
@@ -12,7 +12,7 @@
 import multiprocessing
 import statistics
 
-from benchmarks import job_model
+from banyantrack.testing import job_model
 
 LOADS = (1.0, 2.0, 3.0)
 LENGTH_S = 40.0
