--- a/banyantrack/testing/job_model.py
+++ b/banyantrack/testing/job_model.py
@@ -535,10 +535,7 @@
         queue = next(
             q for q in self._state.config.queues if q.name == job.kind.queue
         )
-        chain_ms = (
-            max(job.work_ms) if job.job.steps[0].gang else (max(job.work_ms))
-        )
-        objective_ms = queue.stretch * chain_ms + queue.objective_ms
+        objective_ms = queue.stretch * max(job.work_ms) + queue.objective_ms
         work = sum(job.work_ms) * job.job.steps[0].accelerators
         usual = job.kind.tasks * job.kind.work_ms
         usual *= sum(job.kind.accelerators) / len(job.kind.accelerators)
