Policy service: asked about few workers at a time, in order of fit

Change: advice.py names up to 30 workers that fit best, further ones when those do not suffice; tickets belong to one life and end by the steady clock. Tests: test_few_workers_are_asked_about_at_a_time, and on real processes with a stand-in of the service test_queue_with_a_policy_service.

--- a/banyantrack/daemons/work_session.py
+++ b/banyantrack/daemons/work_session.py
@@ -435,8 +435,8 @@
             approvals=self._advisor.approvals,
         )
         self._log_waiting(plan.waiting)
-        for group in plan.advice_wanted:
-            await self._advisor.ask(group)
+        for group, workers in plan.advice_wanted.items():
+            await self._advisor.ask(group, workers)
         for stop in plan.stops:
             await self._stop(stop.key, stop.run, stop.worker_id, stop.reason)
         self._metrics.histogram('banyan_work_round_us').record(
--- a/banyantrack/platform/workers.py
+++ b/banyantrack/platform/workers.py
@@ -16,8 +16,6 @@
 
 # An order takes a round trip; what takes this long has lost its answer.
 ORDER_TIMEOUT_S = 0.4
-# Policy decisions take tens of milliseconds for each worker named.
-ADVICE_TIMEOUT_S = 3.0
 MACHINE_TIMEOUT_S = 2.0
 Reason = port_module.Reason
 CONFLICTS = {
@@ -281,7 +279,7 @@
         return HttpWorkerPort(worker)
 
     async def advise(
-        self, group: layout.GroupKey, workers: list[str]
+        self, group: layout.GroupKey, workers: list[str], *, timeout_s: float
     ) -> dict[str, str] | None:
         """Asks the policy service; see `Ports`."""
         if self._advice is None:
@@ -291,7 +289,7 @@
             self._advice,
             '/v1/advise',
             {'step': step, 'workers': workers},
-            timeout_s=ADVICE_TIMEOUT_S,
+            timeout_s=timeout_s,
         )
         if answer.status != 200:
             return None
--- a/banyantrack/testing/fake_executor.py
+++ b/banyantrack/testing/fake_executor.py
@@ -144,6 +144,8 @@
         # Usage or tail that is told of tasks, and paces that were asked for.
         self.usage: dict[str, int] = {}
         self.paces: dict[str, int] = {}
+        # Ticket that the latest start of each task carried.
+        self.tickets: dict[str, str] = {}
         self._pool = pool
         self._control = list(control)
         self._observer = observer
@@ -315,6 +317,7 @@
             arrived_s=time.monotonic(),
         )
         self._highest[task] = number
+        self.tickets[task] = body.get('ticket', '')
         self._runs[task] = run
         self._observer.started(self.name, run)
         for kind, limit in self._capacity.items():
--- a/banyantrack/testing/platform_system.py
+++ b/banyantrack/testing/platform_system.py
@@ -83,8 +83,8 @@
         seed: int = 1,
         late: float = 0.0,
     ) -> None:
-        ports = system.free_ports(5 + executors)
-        rpc, http, platform, front, ready = ports[:5]
+        ports = system.free_ports(6 + executors)
+        rpc, http, platform, front, ready, policy = ports[:6]
         # Tests of several processes must not meet on one address.
         net = f'127.{1 + os.getpid() // 250 % 250}.{os.getpid() % 250}'
         hosts = [f'{net}.{11 + number}' for number in range(control)]
@@ -108,6 +108,7 @@
                         'seeds': self.seeds,
                         'first_start': True,
                         'tolerated_losses': control // 2,
+                        'advice_address': f'{net}.51:{policy}',
                     },
                 },
             )
@@ -134,6 +135,7 @@
         self.front = f'{net}.31:{front}'
         self.ready = f'{net}.31:{ready}'
         self.observer = fake_executor.Observer()
+        self.policy_address = f'{net}.51:{policy}'
         self.rng = random.Random(seed)
         self.executors = [
             fake_executor.FakeExecutor(
@@ -146,7 +148,7 @@
                 late=late,
                 rack=f'r{1 + number % 2}',
             )
-            for number, port in enumerate(ports[5:])
+            for number, port in enumerate(ports[6:])
         ]
 
     @property
--- a/banyantrack/testing/work_builders.py
+++ b/banyantrack/testing/work_builders.py
@@ -13,6 +13,7 @@
 if typing.TYPE_CHECKING:
     import collections.abc
 
+    from banyantrack.workload import advice
     from banyantrack.workload import layout
 
 NOW_MS = 1_000_000
@@ -136,9 +137,7 @@
     stopping: collections.abc.Container[layout.RunId] = (),
     remaining_ms: float | None = None,
     penalties: collections.abc.Mapping[str, float] | None = None,
-    approvals: collections.abc.Mapping[
-        layout.GroupKey, planner_module.Approvals
-    ]
+    approvals: collections.abc.Mapping[layout.GroupKey, advice.Approvals]
     | None = None,
 ) -> planner_module.Plan:
     """Runs one round with all workers usable."""
--- a/banyantrack/tests/test_platform.py
+++ b/banyantrack/tests/test_platform.py
@@ -12,6 +12,7 @@
 
 from banyantrack.report import explain
 from banyantrack.testing import fake_executor
+from banyantrack.testing import fake_policy
 from banyantrack.testing import platform_system
 from banyantrack.transport import http_client
 
@@ -27,13 +28,19 @@
 
 
 class PlatformTest(testtools.TestCase):
-    def run_with(self, act: Act, **options: typing.Any) -> None:
+    def run_with(
+        self,
+        act: Act,
+        *,
+        config: dict[str, typing.Any] | None = None,
+        **options: typing.Any,
+    ) -> None:
         async def main(folder: str) -> None:
             made = platform_system.PlatformSystem(
                 pathlib.Path(folder), **options
             )
             try:
-                async with made.running():
+                async with made.running(config):
                     await act(made)
             except BaseException:
                 # The folder goes with the test; its logs tell the cause.
@@ -142,6 +149,31 @@
 
         self.run_with(act, executors=1)
 
+    def test_queue_with_a_policy_service(self) -> None:
+        async def act(made: platform_system.PlatformSystem) -> None:
+            policy = fake_policy.FakePolicy(made.policy_address, {'i-1'})
+            await policy.open()
+            job = 'a' * 16
+            many = {'count': 3, 'gpu': 4, 'estimatedMs': 150}
+            behaviour = {'ms': 150, 'need': {'gpu': 4}}
+            await made.submit('usual', job, many, behaviour=behaviour)
+            await made.wait_state('usual', job, 'completed')
+            await policy.close()
+            # The names of a job's tasks begin with that of their step.
+            step = f'{job}.0.0'
+            ticket = policy.ticket(step, 'i-1')
+            self.assertEqual({ticket}, set(made.executors[1].tickets.values()))
+            self.assertEqual({}, made.executors[0].tickets)
+            self.assertEqual([step], [call[0] for call in policy.calls])
+
+        advised = copy.deepcopy(platform_system.DEFAULT_CONFIG)
+        advised['routes'][1]['advice'] = {
+            'decisionMs': 20,
+            'perWorkerMs': 5,
+            'validityMs': 20_000,
+        }
+        self.run_with(act, config=advised, executors=2)
+
     def test_configurations(self) -> None:
         async def act(made: platform_system.PlatformSystem) -> None:
             newer = copy.deepcopy(platform_system.DEFAULT_CONFIG)
--- a/banyantrack/tests/test_work_planner.py
+++ b/banyantrack/tests/test_work_planner.py
@@ -6,6 +6,7 @@
 
 from banyantrack.generated.workload import ttypes
 from banyantrack.testing import work_builders as builders
+from banyantrack.workload import advice
 from banyantrack.workload import layout
 from banyantrack.workload import planner as planner_module
 from banyantrack.workload import state as state_module
@@ -238,14 +239,52 @@
         builders.submit(state, builders.job('a' * 16))
         group = layout.GroupKey('a' * 16, 0, 0)
         plan = builders.plan(state)
-        self.assertEqual(([group], []), (plan.advice_wanted, plan.starts))
-        approved = planner_module.Approvals(
-            {'w2': 'ticket'}, builders.NOW_MS + 1000
-        )
+        self.assertEqual([], plan.starts)
+        self.assertEqual(['w1', 'w2'], sorted(plan.advice_wanted[group]))
+        approved = advice.Approvals()
+        approved.add(state.workers.values(), {'w2': 'ticket'}, 10.0)
         starts = builders.plan(state, approvals={group: approved}).starts
         self.assertEqual(
             [('w2', 'ticket')], [(s.worker_id, s.ticket) for s in starts]
         )
+        approved.expire(10.0)
+        plan = builders.plan(state, approvals={group: approved})
+        self.assertEqual([], plan.starts)
+        self.assertEqual(['w2'], plan.advice_wanted[group])
+
+    def test_few_workers_are_asked_about_at_a_time(self):
+        workers = [builders.worker(f'w{number}') for number in range(70)]
+        state = builders.state(*workers)
+        advised = builders.queue(
+            'usual',
+            1,
+            advice=ttypes.Advice(
+                decision_ms=1, per_worker_ms=1, validity_ms=1000
+            ),
+        )
+        state.apply(
+            ttypes.WorkCommand(config=builders.config(2, queues=[advised])),
+            builders.NOW_MS,
+        )
+        builders.submit(state, builders.job('a' * 16))
+        group = layout.GroupKey('a' * 16, 0, 0)
+        approvals = {group: advice.Approvals()}
+        asked: list[str] = []
+        for expected in (30, 30, 10):
+            wanted = builders.plan(state, approvals=approvals).advice_wanted
+            self.assertEqual(expected, len(wanted[group]))
+            asked += wanted[group]
+            approvals[group].add(
+                [state.workers[name] for name in wanted[group]], {}, 10.0
+            )
+        self.assertEqual(70, len(set(asked)))
+        plan = builders.plan(state, approvals=approvals)
+        self.assertEqual({}, plan.advice_wanted)
+        # Another life of a worker is asked about again.
+        reborn = builders.worker('w7', incarnation=2)
+        state.apply(ttypes.WorkCommand(workers=[reborn]), builders.NOW_MS)
+        plan = builders.plan(state, approvals=approvals)
+        self.assertEqual({group: ['w7']}, plan.advice_wanted)
 
 
 class TestRuns(testtools.TestCase):
--- a/banyantrack/workload/planner.py
+++ b/banyantrack/workload/planner.py
@@ -13,6 +13,7 @@
 import typing
 
 from banyantrack.generated.workload import ttypes
+from banyantrack.workload import advice
 from banyantrack.workload import availability
 from banyantrack.workload import layout
 from banyantrack.workload import reclaim
@@ -72,7 +73,8 @@
         stops: Runs to stop.
         awaited: Runs whose room is set aside for when they have ended.
         waiting: Why units wait, by group.
-        advice_wanted: Groups whose policy service has to be asked.
+        advice_wanted: Workers that the policy service has to be asked
+            about, by group.
     """
 
     starts: list[ttypes.RunStart] = dataclasses.field(default_factory=list)
@@ -81,24 +83,11 @@
     waiting: dict[layout.GroupKey, Waiting] = dataclasses.field(
         default_factory=dict
     )
-    advice_wanted: list[layout.GroupKey] = dataclasses.field(
-        default_factory=list
+    advice_wanted: dict[layout.GroupKey, list[str]] = dataclasses.field(
+        default_factory=dict
     )
 
 
-@dataclasses.dataclass(slots=True)
-class Approvals:
-    """What the policy service said of one group.
-
-    Attributes:
-        tickets: Ticket by worker that may run the step.
-        expires_ms: Time of day when the tickets end.
-    """
-
-    tickets: dict[str, str]
-    expires_ms: float
-
-
 class Planner:
     """Plans rounds.
 
@@ -127,7 +116,7 @@
         now_ms: int,
         blocked: collections.abc.Mapping[layout.GroupKey, float],
         stopping: collections.abc.Container[layout.RunId],
-        approvals: collections.abc.Mapping[layout.GroupKey, Approvals],
+        approvals: collections.abc.Mapping[layout.GroupKey, advice.Approvals],
     ) -> Plan:
         """Runs one round.
 
@@ -136,7 +125,8 @@
             now_ms: Time of day.
             blocked: Groups that wait, with the time until which they do.
             stopping: Runs that are being stopped.
-            approvals: What the policy service said of groups.
+            approvals: What the policy service said of groups; holds no
+                tickets that have ended.
         """
         plan = Plan()
         for unit in units_module.ready_units(
@@ -148,11 +138,7 @@
         ):
             allowed = None
             if unit.record.queue.advice is not None:
-                allowed = approvals.get(unit.key)
-                if allowed is None or allowed.expires_ms <= now_ms:
-                    plan.advice_wanted.append(unit.key)
-                    plan.waiting[unit.key] = _waiting(unit, Cause.ADVICE, [])
-                    continue
+                allowed = approvals.get(unit.key) or advice.Approvals()
             self._plan_unit(plan, fleet, unit, allowed, now_ms, stopping)
         return plan
 
@@ -161,15 +147,18 @@
         plan: Plan,
         fleet: room_module.Fleet,
         unit: units_module.Unit,
-        allowed: Approvals | None,
+        allowed: advice.Approvals | None,
         now_ms: int,
         stopping: collections.abc.Container[layout.RunId],
     ) -> None:
-        candidates = [
+        able = [
             room
             for room in fleet.of_pool(unit.record.queue.pool)
-            if room.usable and _may_run(room, unit, allowed)
+            if room.usable and _may_run(room, unit)
         ]
+        candidates = able
+        if allowed is not None:
+            candidates = [r for r in able if allowed.ticket(r.record)]
         candidates = _without_failed(unit, candidates)
         need = room_module.need_of(unit.step)
         idle = fleet.idle(unit.record.queue.pool)
@@ -182,6 +171,11 @@
         missing = unit.members[len(chosen) :]
         if not missing:
             return
+        asked = [] if allowed is None else advice.to_ask(unit, able, allowed)
+        if asked:
+            plan.advice_wanted[unit.key] = asked
+            plan.waiting[unit.key] = _waiting(unit, Cause.ADVICE, candidates)
+            return
         cause = Cause.ROOM if candidates else Cause.NO_WORKER
         if unit.priority == 0 and candidates:
             made = self._make_room(
@@ -339,15 +333,9 @@
     )
 
 
-def _may_run(
-    room: room_module.WorkerRoom,
-    unit: units_module.Unit,
-    allowed: Approvals | None,
-) -> bool:
+def _may_run(room: room_module.WorkerRoom, unit: units_module.Unit) -> bool:
     label = unit.step.required_label
-    if label and label not in room.record.labels:
-        return False
-    return allowed is None or room.record.worker_id in allowed.tickets
+    return not label or label in room.record.labels
 
 
 def _spread(
@@ -422,7 +410,7 @@
     unit: units_module.Unit,
     index: int,
     room: room_module.WorkerRoom,
-    allowed: Approvals | None,
+    allowed: advice.Approvals | None,
 ) -> ttypes.RunStart:
     tasks = layout.group_tasks(unit.record, unit.key.occurrence, unit.key.step)
     if unit.step.gang:
@@ -431,12 +419,12 @@
     else:
         run = tasks[index].run + 1
         checkpoint = tasks[index].checkpoint
-    worker_id = room.record.worker_id
+    ticket = '' if allowed is None else allowed.ticket(room.record)
     return ttypes.RunStart(
         task=layout.task_key(layout.TaskId(*unit.key, index)),
         run=run,
-        worker_id=worker_id,
+        worker_id=room.record.worker_id,
         incarnation=room.record.incarnation,
         checkpoint=checkpoint if unit.step.checkpointable else '',
-        ticket=allowed.tickets[worker_id] if allowed else '',
+        ticket=ticket or '',
     )
--- a/banyantrack/workload/port.py
+++ b/banyantrack/workload/port.py
@@ -181,10 +181,15 @@
 
     @abc.abstractmethod
     async def advise(
-        self, group: layout.GroupKey, workers: list[str]
+        self, group: layout.GroupKey, workers: list[str], *, timeout_s: float
     ) -> dict[str, str] | None:
         """Asks which workers may run a step.
 
+        Args:
+            group: The step, in one occurrence of its job.
+            workers: At most a hundred of them.
+            timeout_s: Seconds until the call is given up.
+
         Returns:
             Ticket by worker; None if the service is too busy.
 
