--- a/banyantrack/testing/fake_executor.py
+++ b/banyantrack/testing/fake_executor.py
@@ -173,6 +173,11 @@
         """Its clock."""
         return int((time.monotonic() - self._started_s) * 1000)
 
+    @property
+    def running(self) -> list[str]:
+        """Tasks that run."""
+        return list(self._runs)
+
     async def open(self) -> None:
         """Starts to serve, to work and to report."""
         self._server = http_server.HttpServer(self.address, self._serve)
--- /dev/null
+++ b/banyantrack/testing/fake_machines.py
@@ -0,0 +1,82 @@
+"""Stand-in of the platform's machines service, written from its pages.
+
+An upkeep ends everything on a machine at once; its executor starts again a
+little later under another life. Fencing tokens count for each machine.
+"""
+
+from __future__ import annotations
+
+import json
+import typing
+
+import curio
+
+from banyantrack.platform import wire
+from banyantrack.transport import http_server
+
+if typing.TYPE_CHECKING:
+    import collections.abc
+
+    from banyantrack.testing import fake_executor
+
+UPKEEP_S = 0.5
+
+
+class FakeMachines:
+    """Upkeep of the machines of some executors.
+
+    Args:
+        address: `IP:PORT`.
+        executors: One for each machine, which is named after it.
+    """
+
+    def __init__(
+        self,
+        address: str,
+        executors: collections.abc.Iterable[fake_executor.FakeExecutor],
+    ) -> None:
+        self.address = address
+        # Machines in the order of their upkeep, and the most at one time.
+        self.kept: list[str] = []
+        self.most_down = 0
+        # Runs that an upkeep has ended.
+        self.cut: list[str] = []
+        self._down: set[str] = set()
+        self._tokens: dict[str, int] = {}
+        self._executors = {f'm-{e.name}': e for e in executors}
+        self._server = http_server.HttpServer(address, self._serve)
+
+    async def open(self) -> None:
+        """Starts to serve."""
+        await self._server.start()
+
+    async def close(self) -> None:
+        """Ends."""
+        await self._server.close()
+
+    async def _serve(self, request: http_server.Request) -> None:
+        body = json.loads(await request.read_body(65536))
+        machine = body['machine']
+        token = int(request.header(b'fencing-token') or 0)
+        if machine not in self._executors:
+            await request.respond(400, wire.JSON_TYPE, b'{}')
+            return
+        if token < self._tokens.get(machine, 0):
+            reason = {'reason': 'fence'}
+            await request.respond(409, wire.JSON_TYPE, wire.encode(reason))
+            return
+        self._tokens[machine] = token
+        if machine not in self.kept:
+            self.kept.append(machine)
+            await curio.spawn(self._keep, machine, daemon=True)
+        await request.respond(200, wire.JSON_TYPE, b'{}')
+
+    async def _keep(self, machine: str) -> None:
+        self._down.add(machine)
+        self.most_down = max(self.most_down, len(self._down))
+        executor = self._executors[machine]
+        self.cut += executor.running
+        await executor.crash()
+        await curio.sleep(UPKEEP_S)
+        await executor.restart()
+        self._down.discard(machine)
--- a/banyantrack/testing/platform_system.py
+++ b/banyantrack/testing/platform_system.py
@@ -83,8 +83,8 @@
         seed: int = 1,
         late: float = 0.0,
     ) -> None:
-        ports = system.free_ports(6 + executors)
-        rpc, http, platform, front, ready, policy = ports[:6]
+        ports = system.free_ports(7 + executors)
+        rpc, http, platform, front, ready, policy, machines = ports[:7]
         # Tests of several processes must not meet on one address.
         net = f'127.{1 + os.getpid() // 250 % 250}.{os.getpid() % 250}'
         hosts = [f'{net}.{11 + number}' for number in range(control)]
@@ -109,6 +109,8 @@
                         'first_start': True,
                         'tolerated_losses': control // 2,
                         'advice_address': f'{net}.51:{policy}',
+                        'machines_address': f'{net}.51:{machines}',
+                        'upkeep_s': 0.5,
                     },
                 },
             )
@@ -136,6 +138,7 @@
         self.ready = f'{net}.31:{ready}'
         self.observer = fake_executor.Observer()
         self.policy_address = f'{net}.51:{policy}'
+        self.machines_address = f'{net}.51:{machines}'
         self.rng = random.Random(seed)
         self.executors = [
             fake_executor.FakeExecutor(
@@ -148,7 +151,7 @@
                 late=late,
                 rack=f'r{1 + number % 2}',
             )
-            for number, port in enumerate(ports[6:])
+            for number, port in enumerate(ports[7:])
         ]
 
     @property
--- a/banyantrack/tests/test_platform.py
+++ b/banyantrack/tests/test_platform.py
@@ -12,6 +12,7 @@
 
 from banyantrack.report import explain
 from banyantrack.testing import fake_executor
+from banyantrack.testing import fake_machines
 from banyantrack.testing import fake_policy
 from banyantrack.testing import platform_system
 from banyantrack.transport import http_client
@@ -174,6 +175,40 @@
         }
         self.run_with(act, config=advised, executors=2)
 
+    def test_wave_of_upkeep(self) -> None:
+        async def act(made: platform_system.PlatformSystem) -> None:
+            service = fake_machines.FakeMachines(
+                made.machines_address, made.executors
+            )
+            await service.open()
+            jobs = [f'{number:016x}' for number in range(6)]
+            for job in jobs:
+                await made.submit('usual', job, SMALL, behaviour={'ms': 800})
+            machines = [f'm-{e.name}' for e in made.executors]
+            wave = {
+                'wave': 1,
+                'machines': machines,
+                'durationS': 20,
+                'maximum': 1,
+            }
+            status, _ = await made.operator('POST', '/v1/wave-start', wave)
+            self.assertEqual(200, status)
+            for _ in range(400):
+                status, seen = await made.operator('GET', '/v1/wave-get/1')
+                if seen.get('state') == 'completed':
+                    break
+                await curio.sleep(0.05)
+            self.assertEqual((200, 'completed'), (status, seen['state']))
+            self.assertEqual(sorted(machines), sorted(service.kept))
+            self.assertEqual(1, service.most_down)
+            # Machines are emptied before their upkeep.
+            self.assertEqual([], service.cut)
+            for job in jobs:
+                await made.wait_state('usual', job, 'completed')
+            await service.close()
+
+        self.run_with(act, executors=3)
+
     def test_configurations(self) -> None:
         async def act(made: platform_system.PlatformSystem) -> None:
             newer = copy.deepcopy(platform_system.DEFAULT_CONFIG)
