--- a/banyantrack/workload/availability.py
+++ b/banyantrack/workload/availability.py
@@ -13,8 +13,6 @@
 if typing.TYPE_CHECKING:
     import collections.abc
 
-# Time until the room of a run that is being stopped is free, at the most.
-STOPPING_MS = 300.0
 # Share of its expected run time that a run without known progress still
 # takes, at the least.
 LEAST_SHARE = 0.25
