--- a/banyantrack/testing/work_builders.py
+++ b/banyantrack/testing/work_builders.py
@@ -112,6 +112,14 @@
     return made
 
 
+def ask_policy(target: state_module.WorkState) -> None:
+    """Puts the queue `usual` under a policy service."""
+    rules = ttypes.Advice(decision_ms=1, per_worker_ms=1, validity_ms=1000)
+    advised = queue('usual', 1, advice=rules)
+    command = ttypes.WorkCommand(config=config(2, queues=[advised]))
+    target.apply(command, NOW_MS)
+
+
 def submit(
     target: state_module.WorkState,
     handed_in: ttypes.TaskJob,
--- a/banyantrack/tests/test_work_planner.py
+++ b/banyantrack/tests/test_work_planner.py
@@ -225,17 +225,7 @@
 
     def test_policy_service_is_asked_first(self):
         state = builders.state(builders.worker('w1'), builders.worker('w2'))
-        advised = builders.queue(
-            'usual',
-            1,
-            advice=ttypes.Advice(
-                decision_ms=1, per_worker_ms=1, validity_ms=1000
-            ),
-        )
-        state.apply(
-            ttypes.WorkCommand(config=builders.config(2, queues=[advised])),
-            builders.NOW_MS,
-        )
+        builders.ask_policy(state)
         builders.submit(state, builders.job('a' * 16))
         group = layout.GroupKey('a' * 16, 0, 0)
         plan = builders.plan(state)
@@ -255,17 +245,7 @@
     def test_few_workers_are_asked_about_at_a_time(self):
         workers = [builders.worker(f'w{number}') for number in range(70)]
         state = builders.state(*workers)
-        advised = builders.queue(
-            'usual',
-            1,
-            advice=ttypes.Advice(
-                decision_ms=1, per_worker_ms=1, validity_ms=1000
-            ),
-        )
-        state.apply(
-            ttypes.WorkCommand(config=builders.config(2, queues=[advised])),
-            builders.NOW_MS,
-        )
+        builders.ask_policy(state)
         builders.submit(state, builders.job('a' * 16))
         group = layout.GroupKey('a' * 16, 0, 0)
         approvals = {group: advice.Approvals()}
