Log why a worker is lost: crash, restart, silence or leave

Failed calls now say whether they timed out, were refused or closed; the leader logs worker_lost cause= and counts banyan_workers_lost{cause=}. No decision uses it.

--- a/banyantrack/daemons/work_session.py
+++ b/banyantrack/daemons/work_session.py
@@ -25,6 +25,7 @@
 from banyantrack.replication import errors as replication_errors
 from banyantrack.workload import availability
 from banyantrack.workload import capacity
+from banyantrack.workload import crashes
 from banyantrack.workload import durations as durations_module
 from banyantrack.workload import evacuation
 from banyantrack.workload import layout
@@ -63,6 +64,9 @@
 SLOW_PENALTY = 3.0
 # Penalty of a machine that was silent recently, in failed runs.
 SILENT_PENALTY = 1.0
+# Losses of workers are kept for this long after their first sign; their runs
+# have been recorded as lost long before.
+LOSS_RETENTION_S = 60.0
 _LOG = logging.getLogger(__name__)
 _Propose = typing.Callable[
     [ttypes.WorkCommand], 'collections.abc.Awaitable[typing.Any]'
@@ -154,6 +158,8 @@
             state, platform_client, self, upkeep_s=options.upkeep_s
         )
         self._misrouted: dict[layout.RunId, _MisroutedRun] = {}
+        # Losses of workers whose link is closed, by worker and incarnation.
+        self._losses: dict[tuple[str, int], crashes.Loss] = {}
         self._gang_starts: dict[layout.GroupKey, _GangStart] = {}
         # Steady times of failed runs, by worker id.
         self._failure_times_s: dict[str, list[float]] = {}
@@ -241,6 +247,12 @@
         await self.propose(ttypes.WorkCommand(workers=[gone]))
         await self.request_round()
 
+    def on_lapsed(self, worker: ttypes.WorkerRecord) -> None:
+        """Logs why a worker whose lease has lapsed is lost."""
+        link = self._links.get(worker.worker_id)
+        if link is not None and link.record is worker:
+            self._log_loss(self._assess_loss(link))
+
     def on_silent(self, worker: ttypes.WorkerRecord) -> None:
         """Lowers the preference of a worker that has stopped answering."""
         self._silent_at_s[_machine_id(worker)] = clock.steady_s()
@@ -351,6 +363,7 @@
                 and worker.address == link.record.address
             ):
                 continue
+            self._note_loss(link)
             self._note_misrouted_runs(link)
             self._leaves_at_s.pop(worker_id, None)
             await link.close()
@@ -383,6 +396,66 @@
         if lost:
             await self.record_ends(lost)
 
+    def _note_loss(self, link: worker_link.WorkerLink) -> None:
+        """Keeps the loss of a worker whose link is about to be closed."""
+        now_s = clock.steady_s()
+        for lost_id, loss in list(self._losses.items()):
+            if loss.since_s < now_s - LOSS_RETENTION_S:
+                del self._losses[lost_id]
+        record = link.record
+        current = self._state.workers.get(record.worker_id)
+        if current is not None and current.incarnation == record.incarnation:
+            # The worker has another address now, and is not lost.
+            return
+        loss = self._assess_loss(link)
+        self._losses[record.worker_id, record.incarnation] = loss
+        self._log_loss(loss)
+
+    def _log_loss(self, loss: crashes.Loss) -> None:
+        worker = loss.worker
+        runs = self._state.live_runs(worker.worker_id, worker.incarnation)
+        logs.event(
+            _LOG,
+            'worker_lost',
+            worker=worker.worker_id,
+            machine=worker.machine or None,
+            address=worker.address,
+            cause=loss.cause.value,
+            since_s=clock.steady_s() - loss.since_s,
+            runs=len(runs),
+        )
+        self._metrics.counter(
+            'banyan_workers_lost', cause=loss.cause.value
+        ).add()
+
+    def _assess_loss(self, link: worker_link.WorkerLink) -> crashes.Loss:
+        """Returns the loss of a worker, from what its link has observed."""
+        record = link.record
+        contact_loss = link.contact_loss
+        cause = crashes.loss_cause(
+            contact_loss,
+            replaced=self._is_replaced(record),
+            announced=record.state == ttypes.WorkerState.DRAINING
+            or record.worker_id in self._leaves_at_s,
+        )
+        since_s = (
+            clock.steady_s() if contact_loss is None else contact_loss.since_s
+        )
+        return crashes.Loss(record, cause, since_s)
+
+    def _is_replaced(self, lost: ttypes.WorkerRecord) -> bool:
+        """Whether another process runs at a worker's address or machine."""
+        return any(
+            (worker.worker_id, worker.incarnation)
+            != (lost.worker_id, lost.incarnation)
+            and (
+                worker.worker_id == lost.worker_id
+                or worker.address == lost.address
+                or worker.machine == lost.machine != ''
+            )
+            for worker in self._state.workers.values()
+        )
+
     def _incarnation_ended(self, task: ttypes.TaskRecord) -> bool:
         """Whether the incarnation that a run was sent to has ended."""
         worker = self._state.workers.get(task.worker_id)
--- a/banyantrack/daemons/worker_link.py
+++ b/banyantrack/daemons/worker_link.py
@@ -19,6 +19,7 @@
 from banyantrack.core import logs
 from banyantrack.core import signals
 from banyantrack.generated.workload import ttypes
+from banyantrack.workload import crashes
 from banyantrack.workload import layout
 from banyantrack.workload import worker_client
 
@@ -47,6 +48,10 @@
 _LOG = logging.getLogger(__name__)
 End = ttypes.EndKind
 OrderOutcome = worker_client.OrderOutcome
+# Outcomes of answers that came from another process.
+_ANSWERS_OF_OTHERS = frozenset(
+    (OrderOutcome.REPLACED, OrderOutcome.OTHER_INCARNATION)
+)
 
 
 class Owner(typing.Protocol):
@@ -71,6 +76,9 @@
     def on_silent(self, worker: ttypes.WorkerRecord) -> None:
         """Called when a worker stops answering."""
 
+    def on_lapsed(self, worker: ttypes.WorkerRecord) -> None:
+        """Called when the lease of a silent worker with runs has lapsed."""
+
     async def request_round(self) -> None:
         """Requests a planning round."""
 
@@ -153,6 +161,7 @@
         self._check_queued = False
         # Whether a check or a start was not answered, and nothing since.
         self._unanswered = False
+        self._contact_loss: crashes.ContactLoss | None = None
         self._opened_at_s = clock.steady_s()
         self._unhealthy_until_s = float('-inf')
         # Steady time at which a stop of the run was answered.
@@ -187,6 +196,11 @@
             and clock.steady_s() >= self._unhealthy_until_s
         )
 
+    @property
+    def contact_loss(self) -> crashes.ContactLoss | None:
+        """Calls that were not answered since the last answer, or None."""
+        return self._contact_loss
+
     @property
     def answered_recently(self) -> bool:
         """Whether a start can be sent without a check of the worker."""
@@ -283,11 +297,21 @@
         self._orders.append(order)
         await self._order_signal.notify()
 
-    def _note_answer(self, clock_ms: int | None) -> None:
-        """Records that the worker answered an order or a renewal."""
+    def _note_answer(
+        self, clock_ms: int | None, outcome: OrderOutcome
+    ) -> None:
+        """Records an answer to an order or a renewal."""
         self.note_clock(clock_ms)
         self._answered_at_s = clock.steady_s()
         self._unanswered = False
+        if outcome not in _ANSWERS_OF_OTHERS:
+            self._contact_loss = None
+
+    def _note_no_answer(self, error: worker_client.NoAnswerError) -> None:
+        """Records that an order or a renewal was not answered."""
+        if self._contact_loss is None:
+            self._contact_loss = crashes.ContactLoss(clock.steady_s())
+        self._contact_loss.silences.add(error.silence)
 
     # The worker's clock and lease.
 
@@ -361,6 +385,7 @@
             try:
                 await self._hold_once()
             except worker_client.NoAnswerError as error:
+                self._note_no_answer(error)
                 await self._handle_silence(error)
                 await curio.sleep(RETRY_DELAY_S)
 
@@ -378,7 +403,7 @@
             # Unanswered renewals may still be carried out, so a silent worker
             # is not asked for a later lease end.
             lease_reply = await self._hold(self._lease_end_ms or None, wait_ms)
-        self._note_answer(lease_reply.clock_ms)
+        self._note_answer(lease_reply.clock_ms, lease_reply.reason)
         if lease_reply.reason is OrderOutcome.FENCED:
             await self._owner.on_fenced(self._record.worker_id)
             await curio.sleep(RETRY_DELAY_S)
@@ -530,6 +555,7 @@
                 'worker_silent',
                 level=logging.WARNING,
                 worker=self._record.worker_id,
+                silence=error.silence.value,
                 error=error,
             )
             self._owner.on_silent(self._record)
@@ -546,6 +572,7 @@
             worker=self._record.worker_id,
             runs=len(lost),
         )
+        self._owner.on_lapsed(self._record)
         ends = [self._make_end(key, task.run, End.LOST) for key, task in lost]
         if await self._owner.record_ends(ends):
             for key, task in lost:
@@ -596,6 +623,7 @@
                     )
             except worker_client.NoAnswerError as error:
                 self._unanswered = True
+                self._note_no_answer(error)
                 if error.sent:
                     self._unanswered_starts.add(run)
                 logs.event(
@@ -625,7 +653,7 @@
     async def _handle_start_answer(
         self, run: layout.RunId, order_reply: worker_client.OrderReply
     ) -> None:
-        self._note_answer(order_reply.clock_ms)
+        self._note_answer(order_reply.clock_ms, order_reply.reason)
         logs.event(
             _LOG,
             'run_started'
@@ -688,10 +716,11 @@
                 order_reply = await self._client.stop(
                     key, run, token=self._owner.token
                 )
-            except worker_client.NoAnswerError:
+            except worker_client.NoAnswerError as error:
+                self._note_no_answer(error)
                 await curio.sleep(RETRY_DELAY_S)
                 continue
-            self._note_answer(order_reply.clock_ms)
+            self._note_answer(order_reply.clock_ms, order_reply.reason)
             if order_reply.reason is OrderOutcome.FENCED:
                 await self._owner.on_fenced(self._record.worker_id)
             self._stop_answered_s[(key, run)] = clock.steady_s()
@@ -705,11 +734,12 @@
             order_reply = await self._client.pace(
                 key, run, percent, token=self._owner.token
             )
-        except worker_client.NoAnswerError:
+        except worker_client.NoAnswerError as error:
+            self._note_no_answer(error)
             await curio.sleep(RETRY_DELAY_S)
             await self.pace(key, run, percent)
             return
-        self._note_answer(order_reply.clock_ms)
+        self._note_answer(order_reply.clock_ms, order_reply.reason)
 
     async def _send_check(self) -> None:
         self._check_queued = False
@@ -722,7 +752,7 @@
             except worker_client.NoAnswerError as error:
                 await self._handle_failed_check(error)
             else:
-                self._note_answer(order_reply.clock_ms)
+                self._note_answer(order_reply.clock_ms, order_reply.reason)
                 if order_reply.reason is OrderOutcome.FENCED:
                     await self._owner.on_fenced(self._record.worker_id)
                 elif order_reply.reason is OrderOutcome.REPLACED:
@@ -743,5 +773,6 @@
             error=error,
         )
         self._unanswered = True
+        self._note_no_answer(error)
         # A renewal finds out whether the worker is silent.
         await self._hold_signal.notify()
--- a/banyantrack/platform/workers.py
+++ b/banyantrack/platform/workers.py
@@ -32,6 +32,12 @@
     'busy': OrderOutcome.UNHEALTHY,
     'wave': OrderOutcome.INVALID,
 }
+SILENCES = {
+    http_client.NoResponse.TIMEOUT: worker_client.Silence.TIMEOUT,
+    http_client.NoResponse.REFUSED: worker_client.Silence.REFUSED,
+    http_client.NoResponse.CLOSED: worker_client.Silence.CLOSED,
+    http_client.NoResponse.INVALID: worker_client.Silence.INVALID,
+}
 END_KINDS = {
     'done': ttypes.EndKind.DONE,
     'failed': ttypes.EndKind.FAILED,
@@ -295,7 +301,7 @@
         )
     except http_client.HttpError as error:
         raise worker_client.NoAnswerError(
-            str(error), sent=error.sent
+            str(error), sent=error.sent, silence=SILENCES[error.cause]
         ) from error
 
 
--- a/banyantrack/tests/test_worker_link.py
+++ b/banyantrack/tests/test_worker_link.py
@@ -126,6 +126,9 @@
     def on_silent(self, _: ttypes.WorkerRecord) -> None:
         pass
 
+    def on_lapsed(self, _: ttypes.WorkerRecord) -> None:
+        pass
+
     async def record_ends(self, ends: list[ttypes.RunEnd]) -> bool:
         self.ends += [(clock.steady_s(), end) for end in ends]
         self.runs = []
--- a/banyantrack/transport/http_client.py
+++ b/banyantrack/transport/http_client.py
@@ -8,6 +8,8 @@
 from __future__ import annotations
 
 import dataclasses
+import enum
+import errno
 import typing
 
 import curio
@@ -20,16 +22,35 @@
 RESPONSE_LIMIT_BYTES = 64 * 1024 * 1024
 
 
+class NoResponse(enum.Enum):
+    """Why no complete response was received."""
+
+    TIMEOUT = 'timeout'
+    # Nothing listens at the port, which its host says.
+    REFUSED = 'refused'
+    # The peer closed or reset the connection.
+    CLOSED = 'closed'
+    INVALID = 'invalid'
+
+
 class HttpError(errors.BanyanError):
     """No complete response was received.
 
     Attributes:
         sent: Whether the peer may have received any byte of the request.
+        cause: Why there is no response.
     """
 
-    def __init__(self, message: str, *, sent: bool) -> None:
+    def __init__(
+        self,
+        message: str,
+        *,
+        sent: bool,
+        cause: NoResponse = NoResponse.INVALID,
+    ) -> None:
         super().__init__(message)
         self.sent = sent
+        self.cause = cause
 
 
 @dataclasses.dataclass(slots=True)
@@ -99,6 +120,7 @@
             raise HttpError(
                 f'{self._address}: no response within {timeout_s:.3f} s',
                 sent=sent,
+                cause=NoResponse.TIMEOUT,
             ) from None
         except (
             OSError,
@@ -107,7 +129,9 @@
             http.BodyTooLargeError,
         ) as error:
             await self.close()
-            raise HttpError(f'{self._address}: {error}', sent=sent) from error
+            raise HttpError(
+                f'{self._address}: {error}', sent=sent, cause=_cause_of(error)
+            ) from error
         except BaseException:
             await self.close()
             raise
@@ -166,3 +190,21 @@
             state.start_next_cycle()
         else:
             await self.close()
+
+
+# Errors of a connection that its peer has ended.
+_CLOSED_ERRNOS = frozenset((errno.ECONNRESET, errno.ECONNABORTED, errno.EPIPE))
+
+
+def _cause_of(error: Exception) -> NoResponse:
+    """Returns why a request failed, from the error that ended it."""
+    if isinstance(error, OSError):
+        if error.errno == errno.ECONNREFUSED:
+            return NoResponse.REFUSED
+        if error.errno in _CLOSED_ERRNOS:
+            return NoResponse.CLOSED
+        # Unreachable hosts say nothing about the peer's process either.
+        return NoResponse.TIMEOUT
+    if isinstance(error, http.ClosedError):
+        return NoResponse.CLOSED
+    return NoResponse.INVALID
--- a/banyantrack/workload/worker_client.py
+++ b/banyantrack/workload/worker_client.py
@@ -15,17 +15,39 @@
 from banyantrack.workload import layout
 
 
+class Silence(enum.Enum):
+    """How a worker failed to answer."""
+
+    # Nothing came in time: the worker, its host or the network may be slow,
+    # cut off or without power.
+    TIMEOUT = 'timeout'
+    # The host is up, but no process listens at the worker's port.
+    REFUSED = 'refused'
+    # The connection was closed or reset before the answer.
+    CLOSED = 'closed'
+    # The answer could not be read.
+    INVALID = 'invalid'
+
+
 class NoAnswerError(errors.BanyanError):
     """An order was not answered; the worker may execute it, even later.
 
     Attributes:
         sent: Whether any byte of the order was sent; if not, it was not
             executed.
+        silence: How the worker failed to answer.
     """
 
-    def __init__(self, message: str, *, sent: bool = True) -> None:
+    def __init__(
+        self,
+        message: str,
+        *,
+        sent: bool = True,
+        silence: Silence = Silence.INVALID,
+    ) -> None:
         super().__init__(message)
         self.sent = sent
+        self.silence = silence
 
 
 class OrderOutcome(enum.Enum):
