Failing test: a task crashes executor after executor

On the current code the task is started again each time its executor is lost, and its job never ends: 'failed: not reached within 30 s'.

--- a/banyantrack/testing/fake_executor.py
+++ b/banyantrack/testing/fake_executor.py
@@ -4,11 +4,13 @@
 and may carry out orders late without an answer. All executors of a test
 share an observer that records violations of guarantees. The spec of a job is
 JSON that defines how its tasks behave: `ms` (run time), `fail` (share of
-runs that fail), `gang` (number of members) and `need` (resources of a task).
+runs that fail), `gang` (number of members), `need` (resources of a task) and
+`crash` (indexes of the tasks that crash each executor that starts them).
 """
 
 from __future__ import annotations
 
+import collections
 import dataclasses
 import json
 import random
@@ -34,6 +36,14 @@
 # Leases that end later than this from now are shortened.
 MAX_LEASE_MS = 6000
 CHECKPOINT_INTERVAL_MS = 100
+# Time from the start of a task that crashes its executor until the crash.
+CRASH_DELAY_S = 0.01
+# Time from a crash under a task until the executor is back.
+CRASH_DOWN_S = 1.0
+# A task under which so many executors have crashed may still be started
+# `STARTS_AFTER_CRASHES` times.
+CRASH_LIMIT = 3
+STARTS_AFTER_CRASHES = 2
 
 
 @dataclasses.dataclass(slots=True)
@@ -47,6 +57,7 @@
         work_ms: Run time that the task needs.
         fails: Whether it fails at its end.
         gang: Number of members of its gang; 0 for no gang.
+        crashes: Whether it crashes its executor.
         done_ms: Run time so far, including that of its checkpoint.
         arrived_s: Monotonic time of its start, in seconds.
         stop_at_s: Monotonic time at which it stops; None without an order.
@@ -58,6 +69,7 @@
     work_ms: float
     fails: bool
     gang: int
+    crashes: bool
     done_ms: float
     arrived_s: float
     stop_at_s: float | None = None
@@ -79,6 +91,9 @@
         live: Executor and run of the live runs of each task.
         present: Live members of each run of a gang.
         ended: How the first member of each run of a gang ended.
+        crashes: Executors that each task has crashed.
+        crash_victims: Tasks that were alive on an executor when another task
+            crashed it, one entry a run.
     """
 
     def __init__(self) -> None:
@@ -89,6 +104,11 @@
         self.live: dict[str, set[tuple[str, int]]] = {}
         self.present: dict[tuple[str, int], set[str]] = {}
         self.ended: dict[tuple[str, int], str] = {}
+        self.crashes: collections.Counter[str] = collections.Counter()
+        self.crash_victims: list[str] = []
+        self._starts_after_crashes: collections.Counter[str] = (
+            collections.Counter()
+        )
         self._starts_at_end: dict[tuple[str, int], int] = {}
 
     def started(self, executor: str, run: Run) -> None:
@@ -98,11 +118,28 @@
             self.broken.append(f'{run.task} twice: {live} and {executor}')
         if run.task in self.done:
             self.broken.append(f'{run.task} starts after it was done')
+        if self.crashes[run.task] >= CRASH_LIMIT:
+            self._starts_after_crashes[run.task] += 1
+            if self._starts_after_crashes[run.task] > STARTS_AFTER_CRASHES:
+                self.broken.append(
+                    f'{run.task} starts again after it has crashed'
+                    f' {self.crashes[run.task]} executors'
+                )
         live.add((executor, run.run))
         self.starts.append((run.task, run.run))
         if run.gang:
             self.present.setdefault((run.group, run.run), set()).add(run.task)
 
+    def crashed(self, task: str, others: list[str]) -> None:
+        """Records that a task has crashed its executor.
+
+        Args:
+            task: Name of the task.
+            others: Names of the other tasks on the executor.
+        """
+        self.crashes[task] += 1
+        self.crash_victims += others
+
     def finished(self, executor: str, run: Run, how: str) -> None:
         """Records an end.
 
@@ -184,6 +221,7 @@
         self._rng = rng
         self._capacity = capacity or {'cpu': 64_000, 'memMb': 1000, 'gpu': 8}
         self._rack = rack
+        self._crash_tasks: list[curio.Task] = []
         self._reset()
 
     def _reset(self) -> None:
@@ -233,9 +271,21 @@
         # Late orders of this incarnation are no longer carried out.
         self._incarnation = 0
 
+    async def _crash_under(self, run: Run) -> None:
+        """Crashes this executor soon after a start, then starts it again."""
+        await curio.sleep(CRASH_DELAY_S)
+        if self._runs.get(run.task) is not run:
+            return
+        others = [name for name in self._runs if name != run.task]
+        self._observer.crashed(run.task, others)
+        await self.crash()
+        await curio.sleep(CRASH_DOWN_S)
+        self._reset()
+        await self.open()
+
     async def close(self) -> None:
         """Stops and releases its address."""
-        for task in self._tasks:
+        for task in (*self._crash_tasks, *self._tasks):
             await task.cancel()
         if self._server is not None:
             await self._server.close()
@@ -324,7 +374,13 @@
                 self._lease_end_ms, min(body['expiresMs'], limit_ms)
             )
         if target == '/v1/run-start':
-            return self._start(body)
+            answer = self._start(body)
+            run = self._runs.get(body['task'])
+            if run is not None and run.crashes:
+                self._crash_tasks.append(
+                    await curio.spawn(self._crash_under, run, daemon=True)
+                )
+            return answer
         if target == '/v1/run-stop':
             return self._stop(body)
         if target == '/v1/pace':
@@ -352,6 +408,7 @@
             work_ms=spec['ms'],
             fails=self._rng.random() < spec.get('fail', 0.0),
             gang=spec.get('gang', 0),
+            crashes=int(task.rpartition('.')[2]) in spec.get('crash', ()),
             done_ms=saved_ms,
             arrived_s=time.monotonic(),
         )
--- a/banyantrack/testing/platform_system.py
+++ b/banyantrack/testing/platform_system.py
@@ -12,6 +12,7 @@
 import os
 import pathlib
 import random
+import re
 import typing
 
 import curio
@@ -192,6 +193,10 @@
             for executor in self.executors:
                 await executor.close()
 
+    def leader(self) -> system.Process:
+        """Returns the control member that was elected last."""
+        return max(self.control, key=_last_term_led)
+
     def log_text(self) -> str:
         """Returns the logs of all daemons, one after the other."""
         return ''.join(p.log.read_text() for p in self.processes)
@@ -308,3 +313,11 @@
             'GET', '/v1/readiness', address=self.readiness_address
         )
         return status == 200
+
+
+def _last_term_led(process: system.Process) -> int:
+    """Returns the last term that a member was elected in; 0 if none."""
+    terms = re.findall(
+        r'event=leader_elected term=(\d+)', process.log.read_text()
+    )
+    return max(map(int, terms), default=0)
