Give up a task that crashes its workers; run suspects apart from others

Cause: only ends 'failed' were counted. A run lost with its worker counted nothing, so that its task was placed again at once and without end; the class of fault is a retry without a budget, and without memory of what it had cost.

Change: when a worker crashes (its process ended while its host could be reached), the runs that had started within the last second are suspects. The job has failed after a second crash of which it is the only possible cause, on another host, or after a third one. Hosts that go down together with others that have no suspect, that time out, or that had announced that they leave make no suspects.

--- a/banyantrack/daemons/work_session.py
+++ b/banyantrack/daemons/work_session.py
@@ -101,6 +101,10 @@
     started_s: float
 
 
+def _run_name(run: layout.RunId) -> str:
+    return '.'.join(map(str, run.task)) + f'/{run.run}'
+
+
 def _machine_id(worker: ttypes.WorkerRecord) -> str:
     """Returns the machine of a worker, or its worker id if it has none.
 
@@ -205,11 +209,15 @@
             key: (task.run, task.started_ms) if task else (0, 0)
             for key, task in before.items()
         }
+        for end in ends:
+            if end.kind == ttypes.EndKind.LOST:
+                self._add_crash(end)
         if not await self.propose(ttypes.WorkCommand(ends=ends)):
             return False
         now_ms = clock.now_ms()
         for end in ends:
             key = layout.task_id(end.task)
+            self._log_crash(end, key)
             run, started_ms = started[(end.worker_id, key)]
             self._handle_end(end, key, run, now_ms - started_ms)
         return True
@@ -248,10 +256,10 @@
         await self.request_round()
 
     def on_lapsed(self, worker: ttypes.WorkerRecord) -> None:
-        """Logs why a worker whose lease has lapsed is lost."""
+        """Keeps the loss of a worker whose lease has lapsed."""
         link = self._links.get(worker.worker_id)
         if link is not None and link.record is worker:
-            self._log_loss(self._assess_loss(link))
+            self._keep_loss(self._assess_loss(link))
 
     def on_silent(self, worker: ttypes.WorkerRecord) -> None:
         """Lowers the preference of a worker that has stopped answering."""
@@ -407,12 +415,11 @@
         if current is not None and current.incarnation == record.incarnation:
             # The worker has another address now, and is not lost.
             return
-        loss = self._assess_loss(link)
-        self._losses[record.worker_id, record.incarnation] = loss
-        self._log_loss(loss)
+        self._keep_loss(self._assess_loss(link))
 
-    def _log_loss(self, loss: crashes.Loss) -> None:
+    def _keep_loss(self, loss: crashes.Loss) -> None:
         worker = loss.worker
+        self._losses[worker.worker_id, worker.incarnation] = loss
         runs = self._state.live_runs(worker.worker_id, worker.incarnation)
         logs.event(
             _LOG,
@@ -423,6 +430,12 @@
             cause=loss.cause.value,
             since_s=clock.steady_s() - loss.since_s,
             runs=len(runs),
+            suspects=','.join(
+                _run_name(run)
+                for run, role in loss.roles.items()
+                if role != ttypes.CrashRole.BESIDE
+            )
+            or None,
         )
         self._metrics.counter(
             'banyan_workers_lost', cause=loss.cause.value
@@ -441,7 +454,130 @@
         since_s = (
             clock.steady_s() if contact_loss is None else contact_loss.since_s
         )
-        return crashes.Loss(record, cause, since_s)
+        if cause not in (crashes.LossCause.CRASH, crashes.LossCause.RESTART):
+            return crashes.Loss(record, cause, since_s)
+        observed = cause is crashes.LossCause.CRASH and link.was_reached
+        roles = crashes.crash_roles(
+            self._ages_s(link, since_s),
+            observed=observed,
+            common_cause=observed and self._has_common_cause(record, since_s),
+        )
+        return crashes.Loss(record, cause, since_s, roles)
+
+    def _ages_s(
+        self, link: worker_link.WorkerLink, at_s: float
+    ) -> dict[layout.RunId, float]:
+        """Returns the time since the start of each run of a worker.
+
+        Args:
+            link: Link to the worker.
+            at_s: Steady time at which the ages are taken.
+        """
+        record = link.record
+        now_s, now_ms = clock.steady_s(), clock.now_ms()
+        ages_s = {}
+        for key, task in self._state.live_runs(
+            record.worker_id, record.incarnation
+        ):
+            if link.was_reached:
+                started_s = self._started_at_s(link, key, task.run)
+            else:
+                started_s = now_s - (now_ms - task.started_ms) / 1000
+            ages_s[layout.RunId(key, task.run)] = max(at_s - started_s, 0.0)
+        return ages_s
+
+    def _started_at_s(
+        self, link: worker_link.WorkerLink, key: layout.TaskId, run: int
+    ) -> float:
+        """Returns the steady time at which a run, or its gang, started.
+
+        It is infinite if the start is not confirmed: the order may have been
+        carried out at any time.
+        """
+        started_s = link.started_at_s(key, run)
+        record = self._state.jobs.get(key.job_id)
+        if started_s is None or record is None:
+            return float('inf')
+        if not record.job.steps[key.step].gang:
+            return started_s
+        # A gang begins to work when its last member has started.
+        members = layout.group_tasks(record, key.occurrence, key.step)
+        for index, member in enumerate(members):
+            other = self._links.get(member.worker_id)
+            if other is None or not other.was_reached:
+                continue
+            member_s = other.started_at_s(
+                layout.TaskId(*key.group, index), run
+            )
+            if member_s is not None:
+                started_s = max(started_s, member_s)
+        return started_s
+
+    def _has_common_cause(
+        self, crashed: ttypes.WorkerRecord, since_s: float
+    ) -> bool:
+        """Whether a worker without suspects crashed at the same time."""
+
+        def is_same_moment(other_s: float) -> bool:
+            return abs(other_s - since_s) <= crashes.COMMON_CAUSE_S
+
+        for loss in self._losses.values():
+            if (
+                loss.cause is crashes.LossCause.CRASH
+                and is_same_moment(loss.since_s)
+                and not loss.has_suspects
+            ):
+                return True
+        for link in self._links.values():
+            contact_loss = link.contact_loss
+            if (
+                link.record.worker_id == crashed.worker_id
+                or contact_loss is None
+                or not link.was_reached
+                or not contact_loss.process_ended
+                or not is_same_moment(contact_loss.since_s)
+            ):
+                continue
+            ages_s = self._ages_s(link, contact_loss.since_s)
+            if min(ages_s.values(), default=float('inf')) > (
+                crashes.RECENT_START_S
+            ):
+                return True
+        return False
+
+    def _add_crash(self, end: ttypes.RunEnd) -> None:
+        """Adds the role of a lost run in the crash of its worker."""
+        key = layout.task_id(end.task)
+        loss = self._losses.get((end.worker_id, end.incarnation))
+        task = self._state.task(key)
+        role = loss and loss.roles.get(layout.RunId(key, end.run))
+        if not role or task is None:
+            return
+        end.crash_role = role
+        end.crashed_machine = loss.host
+        end.give_up = crashes.must_give_up(task, role, loss.host)
+
+    def _log_crash(self, end: ttypes.RunEnd, key: layout.TaskId) -> None:
+        """Logs that a run is a suspect in a crash, and if its job ends."""
+        if end.crash_role in (None, ttypes.CrashRole.BESIDE):
+            return
+        role = ttypes.CrashRole._VALUES_TO_NAMES[end.crash_role].lower()
+        task = self._state.task(key)
+        logs.event(
+            _LOG,
+            'crash_suspected',
+            level=logging.WARNING,
+            task='.'.join(map(str, key)),
+            run=end.run,
+            worker=end.worker_id,
+            machine=end.crashed_machine,
+            role=role,
+            crashes=len(task.suspect_crashes or ()) if task else None,
+            give_up=end.give_up,
+        )
+        self._metrics.counter('banyan_crash_suspects', role=role).add()
+        if end.give_up:
+            self._metrics.counter('banyan_jobs_given_up').add()
 
     def _is_replaced(self, lost: ttypes.WorkerRecord) -> bool:
         """Whether another process runs at a worker's address or machine."""
--- a/banyantrack/daemons/worker_link.py
+++ b/banyantrack/daemons/worker_link.py
@@ -169,6 +169,8 @@
         self._unanswered_starts: set[layout.RunId] = set()
         # Steady time at which the run was confirmed as started.
         self._confirmed: dict[layout.RunId, float] = {}
+        # Confirmed runs that this leader has not started.
+        self._inherited: set[layout.RunId] = set()
         self._stopping: set[layout.RunId] = set()
         self._sent: set[layout.RunId] = set()
         self._checkpoints: dict[layout.TaskId, str] = {}
@@ -230,6 +232,20 @@
         """Whether the worker has answered that a run started."""
         return (key, run) in self._confirmed
 
+    @property
+    def was_reached(self) -> bool:
+        """Whether the worker has listed its runs to this leader."""
+        return self._reconciled
+
+    def started_at_s(self, key: layout.TaskId, run: int) -> float | None:
+        """Returns the steady time of a run's start; None if not confirmed.
+
+        It is minus infinity for a run that an earlier leader had started.
+        """
+        if (key, run) in self._inherited:
+            return float('-inf')
+        return self._confirmed.get((key, run))
+
     def checkpoint(self, key: layout.TaskId) -> str:
         """Returns the latest checkpoint of a task; empty if none is known."""
         return self._checkpoints.get(key, '')
@@ -457,6 +473,8 @@
             run = (key, task.run)
             known.add(run)
             if run in listed:
+                if run not in self._confirmed and run not in self._sent:
+                    self._inherited.add(run)
                 self._confirmed.setdefault(run, sent_s)
             elif self._is_permanently_absent(run, sent_s, first):
                 ends.append(self._make_end(key, task.run, End.NEVER))
@@ -496,6 +514,7 @@
         self._stop_answered_s.pop(run, None)
         self._unanswered_starts.discard(run)
         self._confirmed.pop(run, None)
+        self._inherited.discard(run)
 
     def _is_permanently_absent(
         self, run: layout.RunId, sent_s: float, first: bool
@@ -545,6 +564,7 @@
     def _clear_idle_state(self) -> None:
         self._checkpoints.clear()
         self._confirmed.clear()
+        self._inherited.clear()
 
     async def _handle_silence(
         self, error: worker_client.NoAnswerError
--- a/banyantrack/report/explain.py
+++ b/banyantrack/report/explain.py
@@ -27,6 +27,7 @@
         'job_refused',
         'config_refused',
         'worker_silent',
+        'crash_suspected',
         'worker_lapsed',
         'work_unconfirmed',
     )
--- a/banyantrack/workload/crashes.py
+++ b/banyantrack/workload/crashes.py
@@ -1,8 +1,10 @@
-"""Tells crashes of workers from other losses.
+"""Tells crashes of workers from other losses, and which runs are suspects.
 
 The runs of a worker are lost when it crashes, when it is cut off or silent
 until its lease has lapsed, and when it leaves. Only a crash can be the fault
-of a task.
+of a task: of one that had started shortly before. A job is given up only
+after crashes of several hosts, and suspects run apart from other new runs (see
+`isolation`), so that one of these crashes has no other suspect.
 """
 
 from __future__ import annotations
@@ -11,11 +13,27 @@
 import enum
 import typing
 
+from banyantrack.generated.workload import ttypes
+from banyantrack.workload import layout
 from banyantrack.workload import worker_client
 
 if typing.TYPE_CHECKING:
-    from banyantrack.generated.workload import ttypes
-
+    import collections.abc
+
+# A run that started within this time before a crash is a suspect. A task that
+# crashes at its start does so at once; the rest covers busy hosts and answers
+# that are on their way.
+RECENT_START_S = 1.0
+# A new leader that finds a worker gone suspects its latest runs only if they
+# started within this time before: an election and a restart of the worker.
+UNOBSERVED_START_S = 8.0
+# Workers that crash within this time of each other have a common cause, unless
+# each of them has a suspect of its own.
+COMMON_CAUSE_S = 0.25
+# Crashes with a suspect after which its job is given up in any case. Two are
+# enough if the last one has no other suspect and was on another host.
+MAX_SUSPECT_CRASHES = 3
+Role = ttypes.CrashRole
 Silence = worker_client.Silence
 # Signs that the process of a worker has ended while its host was reachable.
 _PROCESS_ENDED = frozenset((Silence.CLOSED, Silence.REFUSED))
@@ -46,6 +64,11 @@
     since_s: float
     silences: set[Silence] = dataclasses.field(default_factory=set)
 
+    @property
+    def process_ended(self) -> bool:
+        """Whether all of them were closed or refused, not timed out."""
+        return self.silences <= _PROCESS_ENDED
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Loss:
@@ -55,11 +78,25 @@
         worker: The worker.
         cause: Why it was lost.
         since_s: Steady time of the first sign of the loss.
+        roles: Roles of its runs; empty unless it crashed or was restarted.
     """
 
     worker: ttypes.WorkerRecord
     cause: LossCause
     since_s: float
+    roles: collections.abc.Mapping[layout.RunId, Role] = dataclasses.field(
+        default_factory=dict
+    )
+
+    @property
+    def host(self) -> str:
+        """Id of the host of the worker; its address if it has none."""
+        return self.worker.machine or self.worker.address
+
+    @property
+    def has_suspects(self) -> bool:
+        """Whether any of its runs is a suspect."""
+        return any(role != Role.BESIDE for role in self.roles.values())
 
 
 def loss_cause(
@@ -77,12 +114,65 @@
         return LossCause.LEFT
     if contact_loss is None:
         return LossCause.RESTART if replaced else LossCause.LEFT
-    silences = contact_loss.silences
     # A connection may also be reset between live processes, so a refused one
     # or a successor must confirm that the process has ended. A timeout shows
     # that the host was not reachable all the time.
-    if silences <= _PROCESS_ENDED and (
-        replaced or Silence.REFUSED in silences
+    if contact_loss.process_ended and (
+        replaced or Silence.REFUSED in contact_loss.silences
     ):
         return LossCause.CRASH
     return LossCause.SILENCE
+
+
+def crash_roles(
+    ages_s: collections.abc.Mapping[layout.RunId, float],
+    *,
+    observed: bool,
+    common_cause: bool,
+) -> dict[layout.RunId, Role]:
+    """Returns the role of each run of a worker in its crash.
+
+    Args:
+        ages_s: Seconds from the start of each run to the crash; 0 if it is
+            not known whether the run had started.
+        observed: Whether the leader had been in contact with the worker until
+            it crashed. Otherwise the time of the crash is not known, but no
+            run can have started after it.
+        common_cause: Whether workers without a suspect crashed at the same
+            time.
+    """
+    suspects: set[layout.RunId] = set()
+    latest_s = min(ages_s.values(), default=0.0)
+    if common_cause:
+        pass
+    elif observed:
+        suspects = {r for r, age in ages_s.items() if age <= RECENT_START_S}
+    elif latest_s <= UNOBSERVED_START_S:
+        suspects = {
+            r for r, age in ages_s.items() if age <= latest_s + RECENT_START_S
+        }
+    jobs = {run.task.job_id for run in suspects}
+    role = Role.SOLE_SUSPECT if observed and len(jobs) == 1 else Role.SUSPECT
+    return {run: role if run in suspects else Role.BESIDE for run in ages_s}
+
+
+def is_suspect(task: ttypes.TaskRecord) -> bool:
+    """Whether a worker may have crashed because of a task."""
+    return bool(task.suspect_crashes)
+
+
+def must_give_up(task: ttypes.TaskRecord, role: Role, host: str) -> bool:
+    """Whether a job is given up because of a crash under one of its tasks.
+
+    Args:
+        task: The task, before the crash is recorded.
+        role: Its role in the crash.
+        host: Host that crashed.
+    """
+    if role == Role.BESIDE:
+        return False
+    earlier = task.suspect_crashes or []
+    if len(earlier) + 1 >= MAX_SUSPECT_CRASHES:
+        return True
+    # A single host that crashes again and again may itself be the cause.
+    return role == Role.SOLE_SUSPECT and any(h != host for h in earlier)
--- a/banyantrack/workload/planner.py
+++ b/banyantrack/workload/planner.py
@@ -18,6 +18,7 @@
 from banyantrack.workload import availability
 from banyantrack.workload import capacity
 from banyantrack.workload import headroom
+from banyantrack.workload import isolation as isolation_module
 from banyantrack.workload import layout
 from banyantrack.workload import preemption
 from banyantrack.workload import units as units_module
@@ -148,6 +149,7 @@
                 expired tickets.
         """
         plan = Plan()
+        isolation = isolation_module.Isolation(fleet, now_ms)
         kept_free: dict[str, set[capacity.WorkerCapacity]] = {}
         urgent_demand = headroom.urgent_demand(self._state, now_ms)
         for unit in units_module.ready_units(
@@ -167,9 +169,17 @@
                     fleet, pool, urgent_demand.get(pool)
                 )
             excluded = kept_free[pool] if unit.priority > 0 else set()
-            self._plan_unit(
-                plan, fleet, unit, approved, excluded, now_ms, stopping
-            )
+            for part in isolation_module.split_suspects(unit):
+                self._plan_unit(
+                    plan,
+                    fleet,
+                    part,
+                    approved,
+                    excluded,
+                    isolation,
+                    now_ms,
+                    stopping,
+                )
         return plan
 
     def _workers_to_keep_free(
@@ -193,6 +203,7 @@
         unit: units_module.Unit,
         approved: advice.Approvals | None,
         excluded: set[capacity.WorkerCapacity],
+        isolation: isolation_module.Isolation,
         now_ms: int,
         stopping: collections.abc.Container[layout.RunId],
     ) -> None:
@@ -205,6 +216,7 @@
             approved: Answers of the policy service about the unit; None if
                 its queue has no policy service.
             excluded: Workers that are kept free for more urgent units.
+            isolation: Workers that are closed to other jobs.
             now_ms: Time of day, in milliseconds since 1970.
             stopping: Runs that are being stopped.
         """
@@ -213,6 +225,7 @@
             for worker in fleet.of_pool(unit.record.queue.pool)
             if worker.usable
             and worker not in excluded
+            and isolation.allows(worker, unit.key.job_id)
             and _may_run(worker, unit)
         ]
         candidates = eligible
@@ -221,11 +234,17 @@
         candidates = _exclude_failed(unit, candidates)
         need = capacity.resources_of(unit.step)
         idle = fleet.is_mostly_idle(unit.record.queue.pool)
-        chosen = self._choose(unit, candidates, need, now_ms, idle)
+        if unit.suspects:
+            chosen = _choose_for_suspects(unit, candidates, need, isolation)
+        else:
+            chosen = self._choose(unit, candidates, need, now_ms, idle)
         if unit.step.gang and len(chosen) < len(unit.members):
             chosen = []
-        for worker in chosen:
+        for position, worker in enumerate(chosen):
             worker.reserve(need)
+            isolation.note_start(
+                worker, unit.key.job_id, suspect=position < unit.suspects
+            )
         unchecked = _unchecked(unit, chosen)
         if unchecked:
             plan.checks |= unchecked
@@ -449,6 +468,26 @@
     )
 
 
+def _choose_for_suspects(
+    unit: units_module.Unit,
+    candidates: list[capacity.WorkerCapacity],
+    need: capacity.Resources,
+    isolation: isolation_module.Isolation,
+) -> list[capacity.WorkerCapacity]:
+    """Returns workers for the members of a unit with suspects, in order.
+
+    A unit with suspects does not wait for a preferred placement.
+    """
+    order = isolation.preference(unit)
+    for workers in (*_locality_sets(unit, candidates), candidates):
+        chosen = _assign_workers(
+            unit, workers, need, len(unit.members), order=order
+        )
+        if len(chosen) == len(unit.members):
+            break
+    return chosen
+
+
 def _may_run(worker: capacity.WorkerCapacity, unit: units_module.Unit) -> bool:
     label = unit.step.required_label
     return not label or label in worker.record.labels
@@ -459,28 +498,40 @@
     candidates: list[capacity.WorkerCapacity],
     need: capacity.Resources,
     count: int,
+    *,
+    order: collections.abc.Callable[
+        [capacity.WorkerCapacity], tuple[float, ...]
+    ]
+    | None = None,
 ) -> list[capacity.WorkerCapacity]:
     """Returns up to `count` workers for tasks, by best fit.
 
     Workers with the least free capacity come first, except that a higher
     penalty comes after a lower one, and workers on which the unit failed come
     last. A worker is listed once for each of its tasks.
+
+    Args:
+        unit: The unit.
+        candidates: Workers to choose from.
+        need: Resources of a task.
+        count: Number of tasks.
+        order: Sort key of the workers, instead of the best fit.
     """
     limit = unit.step.max_per_worker
     tasks = layout.group_tasks(unit.record, unit.key.occurrence, unit.key.step)
     placed = collections.Counter(task.worker_id for task in tasks)
     failed_on = _failed_on(unit)
     chosen: list[capacity.WorkerCapacity] = []
-    ordered = sorted(
-        candidates,
-        key=lambda worker: (
+
+    def best_fit(worker: capacity.WorkerCapacity) -> tuple[float, ...]:
+        return (
             worker.record.worker_id in failed_on,
             worker.penalty,
             worker.free.accelerators,
             worker.free.cpu_milli,
-        ),
-    )
-    for worker in ordered:
+        )
+
+    for worker in sorted(candidates, key=order or best_fit):
         free = worker.free.copy()
         on_worker = placed[worker.record.worker_id]
         while (
--- a/banyantrack/workload/state.py
+++ b/banyantrack/workload/state.py
@@ -21,6 +21,11 @@
 # Finished jobs can be queried for this long. Callers query for up to the
 # `status_s` of the platform, which is two minutes in all known deployments.
 FINISHED_JOB_RETENTION_MS = 600_000
+# A run that has lasted for this long shows that its task does not crash its
+# worker at its start.
+CLEARED_AFTER_MS = 5_000
+# Kinds of ends that say nothing about how long the run lasted.
+_ENDS_OF_UNKNOWN_TIME = frozenset((ttypes.EndKind.LOST, ttypes.EndKind.NEVER))
 State = ttypes.JobState
 Verdict = ttypes.JobVerdict
 End = ttypes.EndKind
@@ -307,15 +312,36 @@
             del self._runs[end.worker_id]
         if end.checkpoint:
             task.checkpoint = end.checkpoint
+        self._record_crash(task, end, now_ms)
         step = record.job.steps[key.step]
         if end.kind == End.DONE and not step.long_running:
             self._mark_done(record, key, step)
         elif end.kind == End.FAILED:
             self._mark_failed(record, key, step, task, end.worker_id)
         if record.state not in FINISHED:
-            self._update_job_state(record, step, task, now_ms)
+            if end.give_up:
+                self._finish(record, State.FAILED, now_ms)
+            else:
+                self._update_job_state(record, step, task, now_ms)
         self._update_active(record)
 
+    def _record_crash(
+        self, task: ttypes.TaskRecord, end: ttypes.RunEnd, now_ms: int
+    ) -> None:
+        """Records a crash under a suspect, or that a suspect is cleared."""
+        if end.crash_role in (
+            ttypes.CrashRole.SUSPECT,
+            ttypes.CrashRole.SOLE_SUSPECT,
+        ):
+            earlier = task.suspect_crashes or []
+            task.suspect_crashes = [*earlier, end.crashed_machine or '']
+        elif (
+            task.suspect_crashes
+            and end.kind not in _ENDS_OF_UNKNOWN_TIME
+            and now_ms - task.started_ms >= CLEARED_AFTER_MS
+        ):
+            task.suspect_crashes = None
+
     def _mark_done(
         self,
         record: ttypes.JobRecord,
--- a/banyantrack/workload/units.py
+++ b/banyantrack/workload/units.py
@@ -41,6 +41,8 @@
         value_if_late: Value of the job if the unit misses its latest start.
         value_after: Returns the value of the job if the unit ends the given
             number of milliseconds from now.
+        suspects: Number of members, the first ones, that may crash their
+            worker.
     """
 
     record: ttypes.JobRecord
@@ -54,6 +56,14 @@
     value: float
     value_if_late: float
     value_after: collections.abc.Callable[[float], float]
+    suspects: int = 0
+
+    @property
+    def tasks(self) -> list[ttypes.TaskRecord]:
+        """Records of all tasks of the group, by index."""
+        return layout.group_tasks(
+            self.record, self.key.occurrence, self.key.step
+        )
 
     @property
     def priority(self) -> int:
--- a/schema/workload.thrift
+++ b/schema/workload.thrift
@@ -118,6 +118,16 @@
   LOST = 8
 }
 
+// Part of a run in the crash of its worker.
+enum CrashRole {
+  // It had run for some time, or something else explains the crash.
+  BESIDE = 1,
+  // It was one of the runs after whose start the worker crashed.
+  SUSPECT = 2,
+  // No run of another job had started so shortly before the crash.
+  SOLE_SUSPECT = 3
+}
+
 struct TaskKey {
   1: string job_id
   2: i32 occurrence
@@ -141,6 +151,12 @@
   4: i64 incarnation
   5: EndKind kind
   6: string checkpoint
+  // Set if the worker crashed under the run.
+  7: optional CrashRole crash_role
+  // Host of the worker that crashed.
+  8: optional string crashed_machine
+  // Whether the job has failed because of this end.
+  9: optional bool give_up
 }
 
 struct TaskRecord {
@@ -156,6 +172,8 @@
   9: string last_failed_on
   // Latest run that failed; a gang's members share it.
   10: i32 failed_run
+  // Hosts that crashed with the task as a suspect, one entry a crash.
+  11: optional list<string> suspect_crashes
 }
 
 enum JobState {
