--- a/banyantrack/daemons/work_session.py
+++ b/banyantrack/daemons/work_session.py
@@ -292,6 +292,22 @@
             and task.run == start.run
             and task.worker_id == start.worker_id
             and not task.done
+            and self._fits(start.worker_id)
+        )
+
+    def _fits(self, worker_id: str) -> bool:
+        """Whether the runs of a worker fit into it; its room may shrink."""
+        worker = self._state.workers.get(worker_id)
+        if worker is None:
+            return True
+        return capacity.fits(
+            worker,
+            (
+                self._state.jobs[key.job_id].job.steps[key.step]
+                for key, _ in self._state.live_runs(
+                    worker_id, worker.incarnation
+                )
+            ),
         )
 
     def on_progress(
--- a/banyantrack/daemons/worker_link.py
+++ b/banyantrack/daemons/worker_link.py
@@ -325,9 +325,10 @@
 
     def _note_no_answer(self, error: worker_client.NoAnswerError) -> None:
         """Records that an order or a renewal was not answered."""
+        now_s = clock.steady_s()
         if self._contact_loss is None:
-            self._contact_loss = crashes.ContactLoss(clock.steady_s())
-        self._contact_loss.silences.add(error.silence)
+            self._contact_loss = crashes.ContactLoss(now_s)
+        self._contact_loss.note(error.silence, now_s)
 
     # The worker's clock and lease.
 
--- a/banyantrack/dispatch/proxy.py
+++ b/banyantrack/dispatch/proxy.py
@@ -36,6 +36,9 @@
 MIN_HEDGE_DELAY_S = 0.02
 # Interval at which callers of requests in flight are checked for disconnects.
 CALLER_CHECK_INTERVAL_S = 0.2
+# Attempts broken off by a backend after which a request is not sent again: it
+# may crash each backend that runs it. Nor is it hedged after the first one.
+MAX_BROKEN_OFF = 2
 _LOG = logging.getLogger(__name__)
 _BODYLESS_STATUSES = frozenset((204, 304))
 _OWN_RESPONSE_HEADERS = frozenset(
@@ -364,6 +367,7 @@
             except attempts.AttemptError as error:
                 await self._close_attempt(request, attempt)
                 maybe_ran |= error.execution is attempts.Execution.MAYBE
+                _count_broken_off(request, error)
                 if error.execution is not attempts.Execution.NOT_RUN:
                     target.record_failure()
                 if error.timed_out:
@@ -378,6 +382,7 @@
                     request=request.request_id,
                     backend=target.backend.backend_id,
                     ran=error.execution.value,
+                    broken_off=request.broken_off,
                     error=error,
                 )
                 if not self._may_retry(request, error):
@@ -406,6 +411,9 @@
             and not request.idempotent
         ):
             return False
+        if request.broken_off >= MAX_BROKEN_OFF:
+            self._metrics.counter('banyan_requests_given_up').add()
+            return False
         return self._budget.try_spend()
 
     async def _run_attempt(
@@ -455,7 +463,7 @@
         """Waits for the first answer, with a second attempt if allowed."""
         first = open_attempts[0]
         target = None
-        if self._budget.available:
+        if self._budget.available and not request.broken_off:
             target = self._dispatcher.try_acquire(request, first.target)
         if target is None:
             return _AnsweredAttempt(first, await first.receive())
@@ -478,7 +486,14 @@
                 if isinstance(result, attempts.Answer):
                     answered = _AnsweredAttempt(attempt, result)
                     return answered
-                failure = _less_certain(failure, result)
+                if failure is not None:
+                    # The failure that is raised is counted by the caller.
+                    raised = _less_certain(failure, result)
+                    _count_broken_off(
+                        request, result if raised is failure else failure
+                    )
+                    raise raised
+                failure = result
             raise failure
         finally:
             for task in tasks:
@@ -699,6 +714,14 @@
     await results.put((attempt, result))
 
 
+def _count_broken_off(
+    request: requests_module.CallerRequest, error: attempts.AttemptError
+) -> None:
+    """Counts an attempt whose backend ended it instead of answering."""
+    if error.execution is attempts.Execution.MAYBE and not error.timed_out:
+        request.broken_off += 1
+
+
 def _less_certain(
     previous: attempts.AttemptError | None, error: attempts.AttemptError
 ) -> attempts.AttemptError:
--- a/banyantrack/dispatch/requests.py
+++ b/banyantrack/dispatch/requests.py
@@ -114,6 +114,8 @@
         body: The body, or the start of one too large to keep.
         body_complete: Whether `body` is the whole body.
         attempts: Number of attempts made, without hedges.
+        broken_off: Number of attempts, with hedges, in which the backend
+            ended the connection instead of answering.
         caller_disconnected: Whether the caller closed its connection.
 
     Raises:
@@ -132,6 +134,7 @@
         'body',
         'body_complete',
         'attempts',
+        'broken_off',
         'caller_disconnected',
         'claimant',
     )
@@ -162,6 +165,7 @@
         self.body = b''
         self.body_complete = True
         self.attempts = 0
+        self.broken_off = 0
         self.caller_disconnected = False
         self.claimant = claimant
 
--- a/banyantrack/placement/gangs.py
+++ b/banyantrack/placement/gangs.py
@@ -117,6 +117,8 @@
             saw the gang stopping, or None.
         overruns: Consecutive reports with too much memory in use.
         pending: Event that was proposed and is not applied yet; 0 if none.
+        crash: Worker that crashed as it started the members on it, and the
+            reason to stop the gang; None if there is none.
     """
 
     __slots__ = (
@@ -129,6 +131,7 @@
         'stopping_since',
         'overruns',
         'pending',
+        'crash',
     )
 
     def __init__(self, epoch: int, workers: array.array) -> None:
@@ -141,6 +144,7 @@
         self.overruns = 0
         self.stopping_since: float | None = None
         self.pending = 0
+        self.crash: tuple[int, Reason] | None = None
 
 
 # Stop reasons that leave time for a checkpoint.
@@ -242,9 +246,12 @@
             one is ignored.
         """
         version = (incarnation, sequence)
-        if version <= self._last_reports.get(worker, (-1, -1)):
+        last = self._last_reports.get(worker, (-1, -1))
+        if version <= last:
             return False
         self._last_reports[worker] = version
+        if 0 <= last[0] < incarnation:
+            self._note_restart(worker)
         reported = {(task.job, task.epoch): task for task in tasks}
         for name in self._on_worker.get(worker, ()):
             gang = self._gangs[name]
@@ -354,6 +361,37 @@
         gang.saved_ms = max(gang.saved_ms, task.saved_ms)
         self._record_usage(name, gang, task)
 
+    def _note_restart(self, worker: int) -> None:
+        """Finds the gangs that were starting on a worker that restarted.
+
+        A single one counts as failed. Of several, one starts again at once
+        and the others later, so that another crash has one suspect only.
+        """
+        suspects = sorted(
+            name
+            for name in self._on_worker.get(worker, ())
+            if self._is_starting(name, worker)
+        )
+        for position, name in enumerate(suspects):
+            if len(suspects) == 1:
+                reason = Reason.MEMBER_FAILED
+            elif position == 0:
+                reason = Reason.LEASE_LAPSED
+            else:
+                reason = Reason.HOLD_FAILED
+            self._gangs[name].crash = (worker, reason)
+
+    def _is_starting(self, name: str, worker: int) -> bool:
+        """Whether a worker has to start a gang and has not reported it yet."""
+        gang = self._gangs[name]
+        status = self._statuses(name)
+        return (
+            status is not None
+            and status.epoch == gang.epoch
+            and status.allotment == AllotState.RUNNING
+            and gang.states[gang.workers.index(worker)] == _HELD
+        )
+
     def _record_usage(
         self, name: str, gang: _TrackedGang, task: TaskReport
     ) -> None:
@@ -467,6 +505,11 @@
                 reason=Reason.MEMBER_FAILED,
                 worker=worker,
             )
+        if gang.crash is not None:
+            worker, reason = gang.crash
+            return self._make_event(
+                name, gang, Event.STOPPING, reason=reason, worker=worker
+            )
         lost = self._lost_worker(gang)
         if lost is not None:
             return self._make_event(
--- a/banyantrack/testing/fake_executor.py
+++ b/banyantrack/testing/fake_executor.py
@@ -44,6 +44,8 @@
 # `STARTS_AFTER_CRASHES` times.
 CRASH_LIMIT = 3
 STARTS_AFTER_CRASHES = 2
+# Time after which starts must respect a capacity that has shrunk.
+SHRINK_GRACE_S = 1.5
 
 
 @dataclasses.dataclass(slots=True)
@@ -220,6 +222,8 @@
         self._observer = observer
         self._rng = rng
         self._capacity = capacity or {'cpu': 64_000, 'memMb': 1000, 'gpu': 8}
+        self._capacity_before = self._capacity
+        self._resized_s = float('-inf')
         self._rack = rack
         self._crash_tasks: list[curio.Task] = []
         self._reset()
@@ -248,6 +252,12 @@
         """Names of the tasks that run."""
         return list(self._runs)
 
+    def resize(self, **capacity: int) -> None:
+        """Changes its capacity while it runs; running tasks continue."""
+        self._capacity_before = self._capacity
+        self._capacity = self._capacity | capacity
+        self._resized_s = time.monotonic()
+
     async def open(self) -> None:
         """Starts its server and the loops that run tasks and announce it."""
         self._server = http_server.HttpServer(self.address, self._serve)
@@ -416,7 +426,7 @@
         self.tickets[task] = body.get('ticket', '')
         self._runs[task] = run
         self._observer.started(self.name, run)
-        for kind, limit in self._capacity.items():
+        for kind, limit in self._enforced_capacity().items():
             used = sum(r.resources.get(kind, 0) for r in self._runs.values())
             if used > limit:
                 self._observer.broken.append(
@@ -424,6 +434,15 @@
                 )
         return 200, {}
 
+    def _enforced_capacity(self) -> dict[str, int]:
+        """Returns the capacity that a start must not exceed now."""
+        if time.monotonic() - self._resized_s < SHRINK_GRACE_S:
+            return {
+                kind: max(limit, self._capacity_before[kind])
+                for kind, limit in self._capacity.items()
+            }
+        return self._capacity
+
     def _stop(self, body: dict) -> tuple[int, dict[str, typing.Any]]:
         task, number = body['task'], body['runId']
         self._highest_run[task] = max(self._highest_run.get(task, 0), number)
--- a/banyantrack/testing/work_builders.py
+++ b/banyantrack/testing/work_builders.py
@@ -233,6 +233,8 @@
     kind: int,
     *,
     checkpoint: str = '',
+    now_ms: int = NOW_MS,
+    **values: object,
 ) -> None:
     """Applies the end of a run to the state.
 
@@ -241,6 +243,8 @@
         started: Start of the run.
         kind: Kind of its end, a value of `EndKind`.
         checkpoint: Its last checkpoint; empty for none.
+        now_ms: Time of the command.
+        **values: Other fields of the end.
     """
     ended = ttypes.RunEnd(
         task=started.task,
@@ -249,5 +253,6 @@
         incarnation=started.incarnation,
         kind=kind,
         checkpoint=checkpoint,
+        **values,
     )
-    target.apply(ttypes.WorkCommand(ends=[ended]), NOW_MS)
+    target.apply(ttypes.WorkCommand(ends=[ended]), now_ms)
--- a/banyantrack/tests/test_gangs.py
+++ b/banyantrack/tests/test_gangs.py
@@ -187,6 +187,65 @@
             [(Event.STOPPING, Reason.LEASE_LAPSED)], self.events()
         )
 
+    def restart(self, worker: int) -> None:
+        """Sends the first report of a worker that has restarted."""
+        self.sequence += 1
+        self.tracker.record_report(worker, 2, self.sequence, [])
+        self.tracker.extend_lease(worker, self.now_s + LEASE_S)
+
+    def test_gang_that_crashes_its_worker_counts_as_failed(self) -> None:
+        for worker in (0, 1):
+            self.report(worker, self.task(State.HELD))
+        self.assertEqual([(Event.STARTED, Reason.NONE)], self.events())
+        self.status.allotment = AllotState.RUNNING
+        self.restart(0)
+        self.assertEqual(
+            [(Event.STOPPING, Reason.MEMBER_FAILED)], self.events()
+        )
+
+    def test_gang_on_a_worker_that_crashes_later_is_not_at_fault(self) -> None:
+        self.run_all()
+        self.restart(0)
+        self.assertEqual(
+            [(Event.STOPPING, Reason.LEASE_LAPSED)], self.events()
+        )
+
+    def test_gangs_that_crash_a_worker_together_start_apart(self) -> None:
+        statuses = {
+            name: intent.JobStatus(
+                job=name,
+                epoch=EPOCH,
+                allotment=AllotState.HOLDING,
+                reason=Reason.NONE,
+                progress_ms=0,
+            )
+            for name in ('j', 'k')
+        }
+        self.placed['k'] = self.placed['j']
+        tracker = gangs.GangTracker(
+            statuses.get,
+            self.placed,
+            lambda number: f'w{number}',
+            lease_s=LEASE_S,
+            grace_s=1.0,
+        )
+        tracker.sync()
+        held = [
+            gangs.TaskReport(name, EPOCH, State.HELD, 0, 0, 0)
+            for name in statuses
+        ]
+        for worker in (0, 1):
+            tracker.record_report(worker, 1, 1, held)
+            tracker.extend_lease(worker, self.now_s + LEASE_S)
+        tracker.events()
+        for status in statuses.values():
+            status.allotment = AllotState.RUNNING
+        tracker.record_report(0, 2, 1, [])
+        self.assertEqual(
+            {'j': Reason.LEASE_LAPSED, 'k': Reason.HOLD_FAILED},
+            {event.job: event.reason for event in tracker.events()},
+        )
+
     def test_old_epoch_changes_nothing(self) -> None:
         self.run_all()
         old = self.task(State.FAILED, epoch=EPOCH - 1)
--- a/banyantrack/tests/test_proxy.py
+++ b/banyantrack/tests/test_proxy.py
@@ -135,6 +135,15 @@
         self.send(Spec('/quick', fake=Fake.RESET_AFTER))
         self.assertGreater(self.counts[0], 1)
 
+    def test_request_that_crashes_backend_after_backend(self) -> None:
+        (result,) = self.send(
+            Spec('/quick', fake=Fake.RESET_AFTER, deadline_ms=3000),
+            backends=6,
+            settings={'retry_budget': 1.0},
+        )
+        self.assertEqual((502, 'unknown'), (result.status, result.outcome))
+        self.assertEqual([2], self.counts)
+
     def test_refused_connection_is_not_run(self) -> None:
         async def scenario(made: in_process.Setup) -> load.Result:
             for backend in made.backends:
--- a/banyantrack/tests/test_work_session.py
+++ b/banyantrack/tests/test_work_session.py
@@ -7,6 +7,7 @@
 from banyantrack.core import metrics
 from banyantrack.daemons import work_session
 from banyantrack.generated.settings import ttypes as settings
+from banyantrack.generated.workload import ttypes
 from banyantrack.testing import work_builders as builders
 
 
@@ -28,15 +29,16 @@
         return self.lease
 
 
-class TestLeads(testtools.TestCase):
-    """Orders stop as soon as another member may lead."""
+class SessionTest(testtools.TestCase):
+    """Base class: a session on a state with one worker."""
 
     def setUp(self) -> None:
         super().setUp()
         self.replica = _FakeReplica()
+        self.state = builders.state(builders.worker('w1'))
         self.session = work_session.WorkSession(
             self.replica,
-            builders.state(),
+            self.state,
             None,
             settings.ControlPlatformSettings(
                 remote_factor=3.0, stop_ms=200, upkeep_s=2.0
@@ -45,6 +47,10 @@
             metrics.Metrics(),
         )
 
+
+class TestLeads(SessionTest):
+    """Orders stop as soon as another member may lead."""
+
     def test_lease_that_has_run_out(self) -> None:
         # Guards against a member that resumes after a pause and sends orders
         # although others have elected a leader meanwhile.
@@ -57,3 +63,28 @@
         # its member was elected again.
         self.replica.term += 1
         self.assertFalse(self.session.leads())
+
+
+class TestShrinkingWorker(SessionTest):
+    """A worker whose capacity shrinks gets no start beyond it."""
+
+    def test_start_that_was_placed_before(self) -> None:
+        builders.submit(self.state, builders.job('a'))
+        (start,) = builders.start(self.state, builders.plan(self.state))
+        self.assertTrue(self.session.is_current(start))
+        shrunk = builders.worker('w1', accelerators=0)
+        self.state.apply(ttypes.WorkCommand(workers=[shrunk]), builders.NOW_MS)
+        self.assertFalse(self.session.is_current(start))
+
+    def test_nothing_is_placed_until_it_grows_again(self) -> None:
+        for name in 'ab':
+            builders.submit(self.state, builders.job(name))
+        (first, _) = builders.start(self.state, builders.plan(self.state))
+        for accelerators, starts in ((1, 0), (3, 1)):
+            worker = builders.worker('w1', accelerators=accelerators)
+            self.state.apply(
+                ttypes.WorkCommand(workers=[worker]), builders.NOW_MS
+            )
+            builders.submit(self.state, builders.job('c'))
+            planned = builders.plan(self.state)
+            self.assertEqual(starts, len(planned.starts))
--- a/banyantrack/workload/capacity.py
+++ b/banyantrack/workload/capacity.py
@@ -64,6 +64,16 @@
     return Resources(step.accelerators, cpu_milli, step.memory_mb)
 
 
+def fits(
+    worker: ttypes.WorkerRecord, steps: collections.abc.Iterable[ttypes.Step]
+) -> bool:
+    """Whether a worker has the resources for one task of each given step."""
+    free = Resources(worker.accelerators, worker.cpu_milli, worker.memory_mb)
+    for step in steps:
+        free.subtract(resources_of(step))
+    return free.covers(Resources(0, 0, 0))
+
+
 @dataclasses.dataclass(eq=False, slots=True)
 class RunAllocation:
     """A run that occupies capacity of a worker.
--- a/banyantrack/workload/crashes.py
+++ b/banyantrack/workload/crashes.py
@@ -27,6 +27,10 @@
 # A new leader that finds a worker gone suspects its latest runs only if they
 # started within this time before: an election and a restart of the worker.
 UNOBSERVED_START_S = 8.0
+# A host that refuses connections within this time after the last answer was
+# reachable when the process ended, even if links lose packets. Cuts and losses
+# of power last longer.
+REFUSED_SOON_S = 1.0
 # Workers that crash within this time of each other have a common cause, unless
 # each of them has a suspect of its own.
 COMMON_CAUSE_S = 0.25
@@ -59,15 +63,35 @@
     Attributes:
         since_s: Steady time of the first of them.
         silences: How they failed.
+        refused_soon: Whether one was refused soon after the first.
     """
 
     since_s: float
     silences: set[Silence] = dataclasses.field(default_factory=set)
+    refused_soon: bool = False
 
     @property
     def process_ended(self) -> bool:
-        """Whether all of them were closed or refused, not timed out."""
-        return self.silences <= _PROCESS_ENDED
+        """Whether the process has ended and its host was reachable then.
+
+        This takes a connection that was refused, or a successor: connections
+        may also be reset between live processes.
+        """
+        return self.refused_soon or self.silences <= _PROCESS_ENDED
+
+    def note(self, silence: Silence, now_s: float) -> None:
+        """Records a call that was not answered.
+
+        Args:
+            silence: How it failed.
+            now_s: Steady time.
+        """
+        self.silences.add(silence)
+        if (
+            silence is Silence.REFUSED
+            and now_s - self.since_s <= REFUSED_SOON_S
+        ):
+            self.refused_soon = True
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -114,9 +138,6 @@
         return LossCause.LEFT
     if contact_loss is None:
         return LossCause.RESTART if replaced else LossCause.LEFT
-    # A connection may also be reset between live processes, so a refused one
-    # or a successor must confirm that the process has ended. A timeout shows
-    # that the host was not reachable all the time.
     if contact_loss.process_ended and (
         replaced or Silence.REFUSED in contact_loss.silences
     ):
