--- a/banyantrack/report/explain.py
+++ b/banyantrack/report/explain.py
@@ -69,8 +69,10 @@
     @property
     def is_failure(self) -> bool:
         """Whether the line reports a failure."""
+        event = self.pairs.get('event')
         return (
-            self.pairs.get('event') in FAILURE_EVENTS
+            event in FAILURE_EVENTS
+            or (event == 'worker_lost' and self.pairs.get('cause') != 'left')
             or self.pairs.get('kind') in FAILURE_KINDS
             or self.pairs.get('verdict')
             in ('NO_CONFIG', 'NOT_ACCEPTED', 'INVALID', 'BAD_KEY')
