Count the crash of an own worker that restarts after its lease has lapsed

A gang that crashes its worker was started again without limit if the worker needed longer than its lease (3 s) to come back: the gang had been stopped as LEASE_LAPSED by then, which counts nothing, and the restart found no gang to blame.

Change: the tracker keeps which gang was starting on a worker when its lease lapsed. A worker that answers with the same incarnation was only silent, and nothing is counted; of two gangs that were starting, none is counted.

--- a/banyantrack/intent/jobs.py
+++ b/banyantrack/intent/jobs.py
@@ -141,13 +141,18 @@
     ) -> bool:
         """Applies an event of a gang.
 
-        An event of another epoch is ignored.
+        An event of another epoch is ignored, except that a crash is found
+        out after the gang was stopped.
 
         Returns:
             Whether anything changed.
         """
         status = self._jobs.get(command.job)
-        if status is None or status.epoch != command.epoch:
+        if status is None:
+            return False
+        if command.event == Event.CRASHED:
+            return self._apply_crashed(status, command)
+        if status.epoch != command.epoch:
             return False
         if status.phase == Phase.WAITING and command.event == Event.GIVEN_UP:
             status.reason = command.reason
@@ -219,9 +224,7 @@
         status.allotment = Allotment.STOPPING
         status.reason = command.reason
         status.phase_since_ms = now_ms
-        if command.failed_worker:
-            failed = [*status.failed_workers, command.failed_worker]
-            status.failed_workers = failed[-FAILED_WORKERS_LIMIT:]
+        _add_failed_worker(status, command)
         return True
 
     def _apply_stopped(
@@ -247,6 +250,15 @@
         status.phase_since_ms = now_ms
         return True
 
+    def _apply_crashed(
+        self, status: ttypes.JobStatus, command: ttypes.JobEventCommand
+    ) -> bool:
+        if status.phase in FINISHED_PHASES or command.epoch > status.epoch:
+            return False
+        status.attempts += 1
+        _add_failed_worker(status, command)
+        return True
+
     def _apply_completed(self, status: ttypes.JobStatus, now_ms: int) -> bool:
         # A gang may complete while it is stopping.
         if status.allotment not in (Allotment.RUNNING, Allotment.STOPPING):
@@ -271,3 +283,11 @@
         status.finished_ms = now_ms
         status.phase_since_ms = now_ms
         self._finished[status.job] = None
+
+
+def _add_failed_worker(
+    status: ttypes.JobStatus, command: ttypes.JobEventCommand
+) -> None:
+    if command.failed_worker:
+        failed = [*status.failed_workers, command.failed_worker]
+        status.failed_workers = failed[-FAILED_WORKERS_LIMIT:]
--- a/banyantrack/placement/gangs.py
+++ b/banyantrack/placement/gangs.py
@@ -190,6 +190,11 @@
         self._started_at = time.monotonic()
         self._lease_until: dict[int, float] = {}
         self._last_reports: dict[int, tuple[int, int]] = {}
+        # Gangs that were starting on a worker when its lease lapsed, as epochs
+        # by job name, by worker.
+        self._lapsed_starts: dict[int, dict[str, int]] = {}
+        # Events of gangs that are no longer tracked.
+        self._late_events: list[intent.JobEventCommand] = []
 
     def progress_ms(self, job: str) -> int:
         """Returns the total run time of a job."""
@@ -250,8 +255,9 @@
         if version <= last:
             return False
         self._last_reports[worker] = version
+        lapsed = self._lapsed_starts.pop(worker, {})
         if 0 <= last[0] < incarnation:
-            self._note_restart(worker)
+            self._note_restart(worker, lapsed)
         reported = {(task.job, task.epoch): task for task in tasks}
         for name in self._on_worker.get(worker, ()):
             gang = self._gangs[name]
@@ -308,7 +314,7 @@
 
     def events(self) -> list[intent.JobEventCommand]:
         """Returns the job events since the last call."""
-        found = []
+        found, self._late_events = self._late_events, []
         for name, gang in self._gangs.items():
             status = self._statuses(name)
             if status is None or status.epoch != gang.epoch:
@@ -325,6 +331,8 @@
         Checks only the gangs of that worker, since checking all gangs for
         each report would be slow.
         """
+        if self._late_events:
+            return True
         for name in self._on_worker.get(worker, ()):
             gang = self._gangs[name]
             status = self._statuses(name)
@@ -361,19 +369,38 @@
         gang.saved_ms = max(gang.saved_ms, task.saved_ms)
         self._record_usage(name, gang, task)
 
-    def _note_restart(self, worker: int) -> None:
+    def _note_restart(
+        self, worker: int, lapsed: collections.abc.Mapping[str, int]
+    ) -> None:
         """Finds the gangs that were starting on a worker that restarted.
 
         A single one counts as failed. Of several, one starts again at once
         and the others later, so that another crash has one suspect only.
+
+        Args:
+            worker: Number of the worker.
+            lapsed: Gangs that were starting there when its lease lapsed, and
+                were stopped for that; epochs by job name.
         """
         suspects = sorted(
             name
             for name in self._on_worker.get(worker, ())
             if self._is_starting(name, worker)
         )
+        if len(lapsed) == 1 and not suspects:
+            ((name, epoch),) = lapsed.items()
+            self._late_events.append(
+                intent.JobEventCommand(
+                    job=name,
+                    epoch=epoch,
+                    event=Event.CRASHED,
+                    reason=Reason.MEMBER_FAILED,
+                    progress_ms=0,
+                    failed_worker=self._worker_name(worker),
+                )
+            )
         for position, name in enumerate(suspects):
-            if len(suspects) == 1:
+            if len(suspects) == 1 and not lapsed:
                 reason = Reason.MEMBER_FAILED
             elif position == 0:
                 reason = Reason.LEASE_LAPSED
@@ -512,6 +539,9 @@
             )
         lost = self._lost_worker(gang)
         if lost is not None:
+            if self._is_starting(name, lost):
+                starts = self._lapsed_starts.setdefault(lost, {})
+                starts[name] = gang.epoch
             return self._make_event(
                 name,
                 gang,
--- a/banyantrack/tests/test_gangs.py
+++ b/banyantrack/tests/test_gangs.py
@@ -210,6 +210,43 @@
             [(Event.STOPPING, Reason.LEASE_LAPSED)], self.events()
         )
 
+    def lapse_while_starting(self) -> None:
+        """Stops the gang after worker 0 was silent from its start on."""
+        for worker in (0, 1):
+            self.report(worker, self.task(State.HELD))
+        self.events()
+        self.status.allotment = AllotState.RUNNING
+        self.report(1, self.task(State.RUNNING))
+        self.now_s += LEASE_S / 2
+        self.report(1, self.task(State.RUNNING))
+        self.now_s += LEASE_S / 2 + 0.1
+        self.assertEqual(
+            [(Event.STOPPING, Reason.LEASE_LAPSED)], self.events()
+        )
+        self.status.allotment = AllotState.STOPPING
+        self.status.reason = Reason.LEASE_LAPSED
+
+    def test_worker_that_restarts_after_its_lease_lapsed(self) -> None:
+        self.lapse_while_starting()
+        del self.placed['j']
+        self.tracker.sync()
+        self.restart(0)
+        self.assertTrue(self.tracker.events_due(0))
+        (event,) = self.tracker.events()
+        self.assertEqual(
+            (Event.CRASHED, 'j', EPOCH, 'w0'),
+            (event.event, event.job, event.epoch, event.failed_worker),
+        )
+        self.assertEqual([], self.tracker.events())
+
+    def test_worker_that_answers_after_its_lease_lapsed(self) -> None:
+        self.lapse_while_starting()
+        del self.placed['j']
+        self.tracker.sync()
+        self.report(0)
+        self.restart(0)
+        self.assertEqual([], self.tracker.events())
+
     def test_gangs_that_crash_a_worker_together_start_apart(self) -> None:
         statuses = {
             name: intent.JobStatus(
--- a/banyantrack/tests/test_intent.py
+++ b/banyantrack/tests/test_intent.py
@@ -268,6 +268,34 @@
         status = self._event(jobs.Event.STOPPED)
         self.assertEqual(jobs.Phase.FAILED, status.phase)
 
+    def test_crash_that_is_found_later_fails_the_waiting_job(self) -> None:
+        self._event(jobs.Event.STARTED)
+        self._event(jobs.Event.STOPPING, reason=jobs.Reason.LEASE_LAPSED)
+        status = self._event(jobs.Event.STOPPED)
+        self.assertEqual(jobs.Phase.WAITING, status.phase)
+        status = self._event(jobs.Event.CRASHED)
+        self.assertEqual(jobs.Phase.FAILED, status.phase)
+
+    def test_crash_of_an_earlier_epoch_counts_when_the_gang_stops(
+        self,
+    ) -> None:
+        self._event(jobs.Event.STARTED)
+        status = self._event(jobs.Event.CRASHED, epoch=self.epoch - 1)
+        self.assertEqual(
+            (jobs.Phase.PLACED, 1), (status.phase, status.attempts)
+        )
+        self._event(jobs.Event.STOPPING, reason=jobs.Reason.RECLAIM)
+        status = self._event(jobs.Event.STOPPED)
+        self.assertEqual(jobs.Phase.FAILED, status.phase)
+
+    def test_crash_counts_nothing_for_a_finished_job(self) -> None:
+        self._event(jobs.Event.STARTED)
+        self._event(jobs.Event.COMPLETED)
+        status = self._event(jobs.Event.CRASHED)
+        self.assertEqual(
+            (jobs.Phase.COMPLETED, 0), (status.phase, status.attempts)
+        )
+
     def test_reclaim_does_not_count_as_failure(self) -> None:
         self._event(jobs.Event.STARTED)
         self._event(jobs.Event.STOPPING, reason=jobs.Reason.RECLAIM)
--- a/schema/intent.thrift
+++ b/schema/intent.thrift
@@ -158,7 +158,10 @@
 
 enum JobEvent {
   STARTED = 1, STOPPING = 2, STOPPED = 3, COMPLETED = 4,
-  GIVEN_UP = 5
+  GIVEN_UP = 5,
+  // Its worker has restarted, and had not reported the gang as running. The
+  // gang was stopped before, or is stopping.
+  CRASHED = 6
 }
 
 enum StopReason {
