Place a suspect away from crashed hosts before near its data

Cause: the preference for other hosts ordered the workers within a locality set only; the rack of the task's data was full but for the crashed host.

Change: all hosts that have not crashed under the unit are tried before any that has. The new test fails before: 'w0' == 'w0'.

--- a/banyantrack/tests/test_crashes.py
+++ b/banyantrack/tests/test_crashes.py
@@ -333,6 +333,24 @@
 
     def test_suspect_starts_although_every_host_is_in_use(self) -> None:
         builders.submit(self.state, builders.job('b', builders.step(count=28)))
+    def test_suspect_leaves_its_data_rather_than_crash_a_host_twice(
+        self,
+    ) -> None:
+        for number, rack in enumerate(('r1', 'r2', 'r2', 'r2')):
+            worker = builders.worker(f'w{number}', labels=['a', rack])
+            self.state.apply(
+                ttypes.WorkCommand(workers=[worker]), builders.NOW_MS
+            )
+        self.suspect('a', 'm-w0', builders.step(data_rack='r1'))
+        self.assertNotEqual('w0', self.start()['a', 0])
+
+    def test_suspect_runs_on_a_crashed_host_if_there_is_no_other(
+        self,
+    ) -> None:
+        self.state = builders.state(builders.worker('w0'))
+        self.suspect('a', 'm-w0')
+        self.assertEqual('w0', self.start()['a', 0])
+
         self.start()
         self.suspect('a', 'm-none')
         self.assertIn(('a', 0), self.start(builders.NOW_MS + 100))
--- a/banyantrack/workload/isolation.py
+++ b/banyantrack/workload/isolation.py
@@ -101,15 +101,13 @@
         new runs of other jobs, and workers with little other work.
         """
         job_id = unit.key.job_id
-        crashed = {
-            host for task in unit.tasks for host in task.suspect_crashes or ()
-        }
+        crashed = _crashed_hosts(unit)
 
         def key(worker: capacity.WorkerCapacity) -> tuple[float, ...]:
             record = worker.record
             recent = self._recent.get(record.worker_id, set()) - {job_id}
             return (
-                (record.machine or record.address) in crashed,
+                _host(worker) in crashed,
                 bool(recent),
                 sum(
                     _cost(run)
@@ -123,6 +121,23 @@
         return key
 
 
+def without_crashed_hosts(
+    unit: units_module.Unit,
+    workers: collections.abc.Iterable[capacity.WorkerCapacity],
+) -> list[capacity.WorkerCapacity]:
+    """Returns the workers on whose hosts no task of a unit was a suspect."""
+    crashed = _crashed_hosts(unit)
+    return [worker for worker in workers if _host(worker) not in crashed]
+
+
+def _crashed_hosts(unit: units_module.Unit) -> set[str]:
+    return {host for task in unit.tasks for host in task.suspect_crashes or ()}
+
+
+def _host(worker: capacity.WorkerCapacity) -> str:
+    return worker.record.machine or worker.record.address
+
+
 def _cost(run: capacity.RunAllocation) -> int:
     """Returns the cost of the loss of a run, in other runs."""
     if run.record.queue.priority == 0:
--- a/banyantrack/workload/planner.py
+++ b/banyantrack/workload/planner.py
@@ -476,10 +476,17 @@
 ) -> list[capacity.WorkerCapacity]:
     """Returns workers for the members of a unit with suspects, in order.
 
-    A unit with suspects does not wait for a preferred placement.
+    A unit with suspects does not wait for a preferred placement, and rather
+    leaves its data than runs on a host that has crashed under it.
     """
     order = isolation.preference(unit)
-    for workers in (*_locality_sets(unit, candidates), candidates):
+    unharmed = isolation_module.without_crashed_hosts(unit, candidates)
+    for workers in (
+        *_locality_sets(unit, unharmed),
+        unharmed,
+        *_locality_sets(unit, candidates),
+        candidates,
+    ):
         chosen = _assign_workers(
             unit, workers, need, len(unit.members), order=order
         )
