--- a/banyantrack/testing/work_builders.py
+++ b/banyantrack/testing/work_builders.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import copy
 import typing
 
 from banyantrack.generated.workload import ttypes
@@ -256,3 +257,17 @@
         **values,
     )
     target.apply(ttypes.WorkCommand(ends=[ended]), now_ms)
+
+
+def without_crashes(snapshot: ttypes.WorkSnapshot) -> ttypes.WorkSnapshot:
+    """Returns a copy of a snapshot as a build without crash records writes it.
+
+    Args:
+        snapshot: The snapshot.
+    """
+    older = copy.deepcopy(snapshot)
+    older.records_crashes = None
+    for record in older.jobs:
+        for task in record.tasks:
+            task.suspect_crashes = None
+    return older
--- a/banyantrack/tests/test_crashes.py
+++ b/banyantrack/tests/test_crashes.py
@@ -255,6 +255,19 @@
         (start,) = builders.start(restored, builders.plan(restored))
         builders.end(restored, start, ttypes.EndKind.LOST)
         self.assertFalse(crashes.is_suspect(restored.task(self.key)))
+    def test_snapshot_of_an_earlier_build_takes_nothing_away(self) -> None:
+        self.crash('m-w1')
+        snapshot = self.state.snapshot()
+        data = codec.encode(builders.without_crashes(snapshot))
+        self.state.restore(codec.decode(ttypes.WorkSnapshot, data))
+        self.assertEqual(['m-w1'], self.state.task(self.key).suspect_crashes)
+
+    def test_snapshot_of_this_build_decides(self) -> None:
+        cleared = codec.encode(self.state.snapshot())
+        self.crash('m-w1')
+        self.state.restore(codec.decode(ttypes.WorkSnapshot, cleared))
+        self.assertFalse(crashes.is_suspect(self.state.task(self.key)))
+
 
 
 class TestIsolation(testtools.TestCase):
--- a/banyantrack/workload/state.py
+++ b/banyantrack/workload/state.py
@@ -150,10 +150,21 @@
             jobs=list(self._jobs.values()),
             workers=list(self._workers.values()),
             waves=list(self._waves.values()),
+            records_crashes=True,
         )
 
     def restore(self, snapshot: ttypes.WorkSnapshot | None) -> None:
-        """Replaces the state; None empties it."""
+        """Replaces the state; None empties it.
+
+        Crashes under unfinished tasks are kept if the snapshot comes from a
+        build that does not record them.
+        """
+        crashes_before = {
+            key: task.suspect_crashes
+            for record in self._active.values()
+            for key, task in layout.iter_tasks(record)
+            if task.suspect_crashes
+        }
         self.__init__()
         self._generation += 1
         if snapshot is None:
@@ -168,6 +179,12 @@
             for key, task in layout.iter_tasks(record):
                 if task.worker_id:
                     self._runs.setdefault(task.worker_id, {})[key] = task
+        if snapshot.records_crashes:
+            return
+        for key, hosts in crashes_before.items():
+            task = self.task(key)
+            if task is not None:
+                task.suspect_crashes = hosts
 
     # Configuration and customers' calls.
 
--- a/schema/workload.thrift
+++ b/schema/workload.thrift
@@ -239,6 +239,8 @@
   2: list<JobRecord> jobs
   3: list<WorkerRecord> workers
   4: list<Wave> waves
+  // Whether the build that wrote this records crashes under tasks.
+  5: optional bool records_crashes
 }
 
 enum JobOperation { SUBMIT = 1, READ = 2, CANCEL = 3, COUNT = 4 }
