Suspect only runs that were sent, and prove nothing by a refusal

What callers saw: an innocent task could count as a suspect, or even as the only one, in the crash of its worker.

Cause: (1) a run whose start still waited in the queue of its link counted as one that had just started.

Change: runs whose start was not sent have no role. Without a successor of the worker a crash is a suspicion only.

--- a/banyantrack/daemons/work_session.py
+++ b/banyantrack/daemons/work_session.py
@@ -461,9 +461,10 @@
         """Returns the loss of a worker, from what its link has observed."""
         record = link.record
         contact_loss = link.contact_loss
+        replaced = self._is_replaced(record)
         cause = crashes.loss_cause(
             contact_loss,
-            replaced=self._is_replaced(record),
+            replaced=replaced,
             announced=record.state == ttypes.WorkerState.DRAINING
             or record.worker_id in self._leaves_at_s,
         )
@@ -476,6 +477,7 @@
         roles = crashes.crash_roles(
             self._ages_s(link, since_s),
             observed=observed,
+            replaced=replaced,
             common_cause=observed and self._has_common_cause(record, since_s),
         )
         return crashes.Loss(record, cause, since_s, roles)
@@ -485,6 +487,8 @@
     ) -> dict[layout.RunId, float]:
         """Returns the time since the start of each run of a worker.
 
+        Runs whose start was not sent are left out.
+
         Args:
             link: Link to the worker.
             at_s: Steady time at which the ages are taken.
@@ -496,6 +500,8 @@
             record.worker_id, record.incarnation
         ):
             if link.was_reached:
+                if not link.may_have_begun(key, task.run):
+                    continue
                 started_s = self._started_at_s(link, key, task.run)
             else:
                 started_s = now_s - (now_ms - task.started_ms) / 1000
--- a/banyantrack/daemons/worker_link.py
+++ b/banyantrack/daemons/worker_link.py
@@ -167,6 +167,8 @@
         # Steady time at which a stop of the run was answered.
         self._stop_answered_s: dict[layout.RunId, float] = {}
         self._unanswered_starts: set[layout.RunId] = set()
+        # Run whose start is on its way.
+        self._sending: layout.RunId | None = None
         # Steady time at which the run was confirmed as started.
         self._confirmed: dict[layout.RunId, float] = {}
         # Confirmed runs that this leader has not started.
@@ -232,6 +234,15 @@
         """Whether the worker has answered that a run started."""
         return (key, run) in self._confirmed
 
+    def may_have_begun(self, key: layout.TaskId, run: int) -> bool:
+        """Whether a run has started, or its start may be carried out."""
+        run_id = (key, run)
+        return (
+            run_id in self._confirmed
+            or run_id in self._unanswered_starts
+            or run_id == self._sending
+        )
+
     @property
     def was_reached(self) -> bool:
         """Whether the worker has listed its runs to this leader."""
@@ -634,6 +645,7 @@
                 break
             if not self._responsive and run not in self._unanswered_starts:
                 break
+            self._sending = run
             try:
                 with self._pending_lease(lease_end_ms):
                     order_reply = await self._client.start(
@@ -643,6 +655,7 @@
                         lease_end_ms=lease_end_ms,
                     )
             except worker_client.NoAnswerError as error:
+                self._sending = None
                 self._unanswered = True
                 self._note_no_answer(error)
                 if error.sent:
@@ -661,6 +674,7 @@
                 await self._hold_signal.notify()
                 await curio.sleep(RETRY_DELAY_S)
                 continue
+            self._sending = None
             await self._handle_start_answer(run, order_reply)
             return
         if run not in self._unanswered_starts:
--- a/banyantrack/tests/test_work_session.py
+++ b/banyantrack/tests/test_work_session.py
@@ -4,11 +4,17 @@
 
 import testtools
 
+from banyantrack.core import clock
 from banyantrack.core import metrics
 from banyantrack.daemons import work_session
 from banyantrack.generated.settings import ttypes as settings
 from banyantrack.generated.workload import ttypes
 from banyantrack.testing import work_builders as builders
+from banyantrack.workload import crashes
+from banyantrack.workload import layout
+from banyantrack.workload import worker_client
+
+Silence = worker_client.Silence
 
 
 class _FakeReplica:
@@ -29,6 +35,31 @@
         return self.lease
 
 
+class _FakeLink:
+    """Link to a worker that has crashed.
+
+    Attributes:
+        record: The worker.
+        begun: Jobs whose starts were sent.
+        contact_loss: Calls that were refused.
+    """
+
+    was_reached = True
+
+    def __init__(self, record: ttypes.WorkerRecord, *begun: str) -> None:
+        self.record = record
+        self.begun = begun
+        self.contact_loss = crashes.ContactLoss(clock.steady_s())
+        for silence in (Silence.CLOSED, Silence.REFUSED):
+            self.contact_loss.note(silence, clock.steady_s())
+
+    def may_have_begun(self, key: layout.TaskId, _: int) -> bool:
+        return key.job_id in self.begun
+
+    def started_at_s(self, *_: object) -> None:
+        return None
+
+
 class SessionTest(testtools.TestCase):
     """Base class: a session on a state with one worker."""
 
@@ -65,6 +96,41 @@
         self.assertFalse(self.session.leads())
 
 
+class TestSuspects(SessionTest):
+    """Only what may have crashed a worker is a suspect."""
+
+    def roles(self, *begun: str, restarted: bool = True) -> dict[str, int]:
+        """Crashes the worker; returns roles by job.
+
+        Args:
+            begun: Jobs whose starts were sent.
+            restarted: Whether another process has replaced the worker.
+        """
+        link = _FakeLink(self.state.workers['w1'], *begun)
+        self.session._links['w1'] = link
+        for name in 'ab':
+            builders.submit(self.state, builders.job(name))
+        builders.start(self.state, builders.plan(self.state))
+        if restarted:
+            successor = builders.worker('w1', incarnation=2)
+            self.state.apply(
+                ttypes.WorkCommand(workers=[successor]), builders.NOW_MS
+            )
+        loss = self.session._assess_loss(link)
+        self.assertIs(crashes.LossCause.CRASH, loss.cause)
+        return {run.task.job_id: role for run, role in loss.roles.items()}
+
+    def test_start_that_was_never_sent(self) -> None:
+        sole = ttypes.CrashRole.SOLE_SUSPECT
+        self.assertEqual({'a': sole}, self.roles('a'))
+
+    def test_worker_that_refuses_and_has_no_successor_yet(self) -> None:
+        # A cut may refuse connections too, so this is no proof of a crash.
+        self.assertEqual(
+            {'a': ttypes.CrashRole.SUSPECT}, self.roles('a', restarted=False)
+        )
+
+
 class TestShrinkingWorker(SessionTest):
     """A worker whose capacity shrinks gets no start beyond it."""
 
--- a/banyantrack/workload/crashes.py
+++ b/banyantrack/workload/crashes.py
@@ -149,6 +149,7 @@
     ages_s: collections.abc.Mapping[layout.RunId, float],
     *,
     observed: bool,
+    replaced: bool,
     common_cause: bool,
 ) -> dict[layout.RunId, Role]:
     """Returns the role of each run of a worker in its crash.
@@ -159,6 +160,8 @@
         observed: Whether the leader had been in contact with the worker until
             it crashed. Otherwise the time of the crash is not known, but no
             run can have started after it.
+        replaced: Whether another process has replaced the worker. A worker
+            that refuses connections may also be behind a cut.
         common_cause: Whether workers without a suspect crashed at the same
             time.
     """
@@ -173,7 +176,8 @@
             r for r, age in ages_s.items() if age <= latest_s + RECENT_START_S
         }
     jobs = {run.task.job_id for run in suspects}
-    role = Role.SOLE_SUSPECT if observed and len(jobs) == 1 else Role.SUSPECT
+    proved = observed and replaced and len(jobs) == 1
+    role = Role.SOLE_SUSPECT if proved else Role.SUSPECT
     return {run: role if run in suspects else Role.BESIDE for run in ages_s}
 
 
