Count both parts of a unit with suspects against the limit of a worker

Cause: suspects of a unit are placed after its other members, in the same round. The number of members on a worker was taken from the recorded runs, which do not include what the same round had just planned. Introduced with the isolation of suspects; class: a limit checked against stale state.

Change: the parts of a unit share the members planned so far. Wishes for advice of both parts are kept, too.

--- a/banyantrack/tests/test_crashes.py
+++ b/banyantrack/tests/test_crashes.py
@@ -356,6 +356,11 @@
         placed = self.start()
         self.assertEqual({('a', index) for index in range(4)}, set(placed))
 
+    def test_suspects_and_others_share_the_limit_of_a_worker(self) -> None:
+        self.state = builders.state(builders.worker('w0'))
+        self.suspect('a', 'm-none', builders.step(count=4, max_per_worker=2))
+        self.assertEqual(2, len(self.start()))
+
     def test_whole_gang_starts_with_its_suspect_alone(self) -> None:
         gang = builders.step(count=3, accelerators=8, gang=True)
         builders.submit(self.state, builders.job('b'))
--- a/banyantrack/workload/planner.py
+++ b/banyantrack/workload/planner.py
@@ -252,6 +252,7 @@
             return
         for index, worker in zip(unit.members, chosen, strict=False):
             plan.starts.append(_start(unit, index, worker, approved))
+            unit.planned[worker.record.worker_id] += 1
         unplaced = unit.members[len(chosen) :]
         if not unplaced:
             return
@@ -261,7 +262,8 @@
             else advice.workers_to_ask(unit, eligible, approved)
         )
         if to_ask:
-            plan.advice_wanted[unit.key] = to_ask
+            wanted = plan.advice_wanted.setdefault(unit.key, [])
+            wanted += [worker for worker in to_ask if worker not in wanted]
             plan.waiting[unit.key] = _waiting(unit, Cause.ADVICE, candidates)
             return
         cause = Cause.NO_CAPACITY if candidates else Cause.NO_WORKER
@@ -525,8 +527,9 @@
         order: Sort key of the workers, instead of the best fit.
     """
     limit = unit.step.max_per_worker
-    tasks = layout.group_tasks(unit.record, unit.key.occurrence, unit.key.step)
-    placed = collections.Counter(task.worker_id for task in tasks)
+    placed = unit.planned + collections.Counter(
+        task.worker_id for task in unit.tasks
+    )
     failed_on = _failed_on(unit)
     chosen: list[capacity.WorkerCapacity] = []
 
--- a/banyantrack/workload/units.py
+++ b/banyantrack/workload/units.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import collections
 import dataclasses
 import functools
 import typing
@@ -43,6 +44,8 @@
             number of milliseconds from now.
         suspects: Number of members, the first ones, that may crash their
             worker.
+        planned: Number of members that start on each worker in this round,
+            by worker id; shared by the parts of a unit.
     """
 
     record: ttypes.JobRecord
@@ -57,6 +60,9 @@
     value_if_late: float
     value_after: collections.abc.Callable[[float], float]
     suspects: int = 0
+    planned: collections.Counter[str] = dataclasses.field(
+        default_factory=collections.Counter
+    )
 
     @property
     def tasks(self) -> list[ttypes.TaskRecord]:
