Soak: tasks that crash executors, shrinking executors, jobs given up

The soak on the platform's interface played neither of the two new troubles, and did not check whether a failed job had a reason. Three in a hundred jobs now crash the executors that start them, executors shrink and grow, restarts are only those of executors that run, and a job that is shown as failed needs five failed runs or two crashes of one task. A stand-in that is resized twice within its grace keeps the bound of both sizes.

--- a/banyantrack/testing/fake_executor.py
+++ b/banyantrack/testing/fake_executor.py
@@ -40,6 +40,8 @@
 CRASH_DELAY_S = 0.01
 # Time from a crash under a task until the executor is back.
 CRASH_DOWN_S = 1.0
+# A task under which so many executors have crashed may be given up.
+CRASHES_TO_GIVE_UP = 2
 # A task under which so many executors have crashed may still be started
 # `STARTS_AFTER_CRASHES` times.
 CRASH_LIMIT = 3
@@ -93,6 +95,7 @@
         live: Executor and run of the live runs of each task.
         present: Live members of each run of a gang.
         ended: How the first member of each run of a gang ended.
+        failures: Runs of each task that have failed by themselves.
         crashes: Executors that each task has crashed.
         crash_victims: Tasks that were alive on an executor when another task
             crashed it, one entry a run.
@@ -106,6 +109,7 @@
         self.live: dict[str, set[tuple[str, int]]] = {}
         self.present: dict[tuple[str, int], set[str]] = {}
         self.ended: dict[tuple[str, int], str] = {}
+        self.failures: collections.Counter[str] = collections.Counter()
         self.crashes: collections.Counter[str] = collections.Counter()
         self.crash_victims: list[str] = []
         self._starts_after_crashes: collections.Counter[str] = (
@@ -153,12 +157,32 @@
         self.live.get(run.task, set()).discard((executor, run.run))
         if how == 'done':
             self._starts_at_end[run.task, run.run] = len(self.starts)
+        if how == 'failed':
+            self.failures[run.task] += 1
         if how == 'alone':
             self.alone.append(run.task)
         if run.gang:
             self.present.get((run.group, run.run), set()).discard(run.task)
             self.ended.setdefault((run.group, run.run), how)
 
+    def may_have_failed(self, job: str, attempts: int) -> bool:
+        """Whether a job may be shown as failed.
+
+        Args:
+            job: Its id.
+            attempts: Failed runs after which a task is given up.
+        """
+        groups: collections.Counter[str] = collections.Counter()
+        for task, failures in self.failures.items():
+            groups[task.rpartition('.')[0]] += failures
+        return any(
+            count >= attempts and group.startswith(f'{job}.')
+            for group, count in groups.items()
+        ) or any(
+            count >= CRASHES_TO_GIVE_UP and task.startswith(f'{job}.')
+            for task, count in self.crashes.items()
+        )
+
     def acknowledged(self, task: str, run: int) -> None:
         """Records that control acknowledged a successful end.
 
@@ -222,8 +246,8 @@
         self._observer = observer
         self._rng = rng
         self._capacity = capacity or {'cpu': 64_000, 'memMb': 1000, 'gpu': 8}
-        self._capacity_before = self._capacity
-        self._resized_s = float('-inf')
+        # Earlier capacities, with the time until which starts may use them.
+        self._earlier_capacities: list[tuple[float, dict[str, int]]] = []
         self._rack = rack
         self._crash_tasks: list[curio.Task] = []
         self._reset()
@@ -247,6 +271,11 @@
         """Its clock: milliseconds since its start."""
         return int((time.monotonic() - self._started_s) * 1000)
 
+    @property
+    def up(self) -> bool:
+        """Whether its process runs."""
+        return self._server is not None
+
     @property
     def running(self) -> list[str]:
         """Names of the tasks that run."""
@@ -254,9 +283,9 @@
 
     def resize(self, **capacity: int) -> None:
         """Changes its capacity while it runs; running tasks continue."""
-        self._capacity_before = self._capacity
+        until_s = time.monotonic() + SHRINK_GRACE_S
+        self._earlier_capacities.append((until_s, self._capacity))
         self._capacity = self._capacity | capacity
-        self._resized_s = time.monotonic()
 
     async def open(self) -> None:
         """Starts its server and the loops that run tasks and announce it."""
@@ -277,7 +306,8 @@
             await task.cancel()
         for run in list(self._runs.values()):
             self._end(run, 'crashed')
-        await self._server.close()
+        server, self._server = self._server, None
+        await server.close()
         # Late orders of this incarnation are no longer carried out.
         self._incarnation = 0
 
@@ -436,12 +466,15 @@
 
     def _enforced_capacity(self) -> dict[str, int]:
         """Returns the capacity that a start must not exceed now."""
-        if time.monotonic() - self._resized_s < SHRINK_GRACE_S:
-            return {
-                kind: max(limit, self._capacity_before[kind])
-                for kind, limit in self._capacity.items()
-            }
-        return self._capacity
+        now_s = time.monotonic()
+        usable = [self._capacity]
+        usable += [
+            c for until_s, c in self._earlier_capacities if now_s < until_s
+        ]
+        return {
+            kind: max(amounts[kind] for amounts in usable)
+            for kind in self._capacity
+        }
 
     def _stop(self, body: dict) -> tuple[int, dict[str, typing.Any]]:
         task, number = body['task'], body['runId']
--- a/banyantrack/testing/platform_soak.py
+++ b/banyantrack/testing/platform_soak.py
@@ -3,7 +3,8 @@
 Daemons run as processes that are killed, suspended, stopped, reloaded by
 signals and started without their data, in overlapping sequences. Executors
 are reached through proxies that delay, reset or block connections in one or
-both directions. The observations of callers, executors and the operator are
+both directions. Some tasks crash the executors that start them, and executors
+shrink and grow. The observations of callers, executors and the operator are
 checked against the guarantees of the system.
 """
 
@@ -39,6 +40,9 @@
 SETTLE_S = 60.0
 CONTROL_MEMBERS = 5
 EXECUTOR_COUNT = 6
+# Share of the jobs with a task that crashes each executor that starts it.
+CRASHING_SHARE = 0.03
+ACCELERATORS = 8
 # A group of five tolerates the loss of two members.
 MAX_DOWN_MEMBERS = 2
 FINISHED_STATES = ('completed', 'failed', 'cancelled')
@@ -56,6 +60,7 @@
     LINK = 'link'
     RESET_LINKS = 'reset-links'
     RESTART_EXECUTOR = 'restart-executor'
+    RESIZE_EXECUTOR = 'resize-executor'
 
 
 @dataclasses.dataclass(slots=True)
@@ -130,6 +135,7 @@
             'configurations': self._acknowledged_version,
             'starts': len(self._system.observer.starts),
             'alone': len(self._system.observer.alone),
+            'crashes': dict(self._system.observer.crashes),
             'faults': dict(self.faults),
             'broken': self.broken,
         }
@@ -175,7 +181,7 @@
         job_id = f'{self._rng.getrandbits(64):016x}'
         queue = self._rng.choice(('urgent', 'usual', 'patient'))
         submitted = self._jobs[job_id] = SubmittedJob(queue)
-        accelerators = self._rng.choice((1, 2, 4, 8))
+        accelerators = self._rng.choice((1, 2, 4, ACCELERATORS))
         count = self._rng.randint(1, 3)
         behaviour: dict[str, typing.Any] = {
             'ms': self._rng.randint(100, 1500),
@@ -195,6 +201,8 @@
         if self._rng.random() < 0.3:
             after = {**step, 'dependsOn': [0]}
             steps.append(after)
+        if self._rng.random() < CRASHING_SHARE:
+            behaviour['crash'] = [0]
         for _ in range(3):
             status = await self._system.submit(
                 queue, job_id, *copy.deepcopy(steps), behaviour=behaviour
@@ -246,7 +254,14 @@
             for proxy in self._proxies:
                 await proxy.reset_all()
         elif fault is Fault.RESTART_EXECUTOR:
-            await self._rng.choice(self._system.executors).restart()
+            executor = self._rng.choice(self._system.executors)
+            if executor.up:
+                await executor.restart()
+        elif fault is Fault.RESIZE_EXECUTOR:
+            executor = self._rng.choice(self._system.executors)
+            executor.resize(gpu=self._rng.randrange(ACCELERATORS))
+            await curio.sleep(self._rng.uniform(0.5, 6.0))
+            executor.resize(gpu=ACCELERATORS)
         elif fault is Fault.RELOAD:
             for process in self._system.processes:
                 if process.running:
@@ -323,8 +338,8 @@
                     self.broken.append(f'{job_id}: accepted and lost')
                     del unfinished[job_id]
                 elif values.get('state') in FINISHED_STATES:
-                    if submitted.cancelled and values['state'] == 'failed':
-                        self.broken.append(f'{job_id}: failed once cancelled')
+                    if values['state'] == 'failed':
+                        self._check_failed(job_id, submitted)
                     del unfinished[job_id]
                 elif submitted.cancelled and 'state' in values:
                     self.broken.append(f'{job_id}: cancelled and {values}')
@@ -341,6 +356,14 @@
                 f'version {document["version"]} has other content'
             )
 
+    def _check_failed(self, job_id: str, submitted: SubmittedJob) -> None:
+        if submitted.cancelled:
+            self.broken.append(f'{job_id}: failed once cancelled')
+        if not self._system.observer.may_have_failed(
+            job_id, platform_system.ATTEMPTS
+        ):
+            self.broken.append(f'{job_id}: given up without cause')
+
     def _check_rejected(self) -> None:
         started = {
             t.partition('.')[0] for t, _ in self._system.observer.starts
--- a/banyantrack/testing/platform_system.py
+++ b/banyantrack/testing/platform_system.py
@@ -28,6 +28,8 @@
 HOST = 'jobs.example'
 KEY = 'growers-key'
 CALL_TIMEOUT_S = 4.0
+# Failed runs after which a task is given up.
+ATTEMPTS = 5
 DEFAULT_CONFIG: dict[str, typing.Any] = {
     'version': 1,
     'routes': [
@@ -40,7 +42,7 @@
             'latencySloMs': 1000,
             'priority': priority,
             'service': POOL,
-            'attempts': 5,
+            'attempts': ATTEMPTS,
             'stretch': 3.0,
             'public': False,
         }
