Ignore late reports of workers that have left or shrunk, across leaders

A report that is delayed by a partition and arrives after its worker has left listed the worker again; after a change of leader, one that is older than the last one gave a shrunken worker its larger capacity back until the next report, so that a start could exceed it (LIMIT).

Cause: the sequence of the last report is in the memory of the leader only, and departures are not kept at all.

Reports without news still write nothing to the log.

--- a/banyantrack/daemons/work_api.py
+++ b/banyantrack/daemons/work_api.py
@@ -341,6 +341,7 @@
                 return
             gone = copy.copy(known)
             gone.state = ttypes.WorkerState.GONE
+            gone.has_left = True
             await self._record_worker(gone)
             return
         report = request.report
@@ -348,14 +349,19 @@
         position = (worker.incarnation, report.sequence)
         if position <= self._last_reports.get(worker.worker_id, (0, -1)):
             return
-        self._last_reports[worker.worker_id] = position
         known = self._state.workers.get(worker.worker_id)
-        if known is not None and known.incarnation > worker.incarnation:
+        if known is not None and position <= _position(known):
+            return
+        if self._state.has_left(worker.worker_id, worker.incarnation):
             return
+        self._last_reports[worker.worker_id] = position
         if known is not None and known.incarnation == worker.incarnation:
             if known.state == ttypes.WorkerState.DRAINING:
                 worker.state = ttypes.WorkerState.DRAINING
+            # Only changes are recorded, with the sequence of their report.
+            worker.sequence = known.sequence
         if known != worker:
+            worker.sequence = report.sequence
             try:
                 await self._record_worker(worker)
             except replication_errors.ReplicationError:
@@ -393,6 +399,12 @@
         )
 
 
+def _position(worker: ttypes.WorkerRecord) -> tuple[int, int]:
+    """Returns the incarnation and sequence of a recorded report."""
+    sequence = -1 if worker.sequence is None else worker.sequence
+    return worker.incarnation, sequence
+
+
 def _make_answer(
     verdict: int, *, state: int = 0, pending: int = 0
 ) -> ttypes.JobAnswer:
--- a/banyantrack/workload/state.py
+++ b/banyantrack/workload/state.py
@@ -21,6 +21,8 @@
 # Finished jobs can be queried for this long. Callers query for up to the
 # `status_s` of the platform, which is two minutes in all known deployments.
 FINISHED_JOB_RETENTION_MS = 600_000
+# Latest departures of workers that are kept, against reports that come late.
+DEPARTURES_LIMIT = 1000
 # A run that has lasted for this long shows that its task does not crash its
 # worker at its start.
 CLEARED_AFTER_MS = 5_000
@@ -57,6 +59,9 @@
         # Runs that may be alive, by worker; an index derived from the jobs.
         self._runs: dict[str, dict[layout.TaskId, ttypes.TaskRecord]] = {}
         self._workers: dict[str, ttypes.WorkerRecord] = {}
+        # Incarnations of workers that have said that they end, by worker id,
+        # in the order of their departure.
+        self._departures: dict[str, int] = {}
         self._waves: dict[int, ttypes.Wave] = {}
         self._generation = 0
 
@@ -90,6 +95,10 @@
         """Counter that increases with each applied command or restore."""
         return self._generation
 
+    def has_left(self, worker_id: str, incarnation: int) -> bool:
+        """Whether a worker has said that this incarnation ends."""
+        return incarnation <= self._departures.get(worker_id, -1)
+
     def task(self, key: layout.TaskId) -> ttypes.TaskRecord | None:
         """Returns the record of a task, or None."""
         record = self._jobs.get(key.job_id)
@@ -151,6 +160,10 @@
             workers=list(self._workers.values()),
             waves=list(self._waves.values()),
             records_crashes=True,
+            departures=[
+                ttypes.Departure(worker_id=worker_id, incarnation=incarnation)
+                for worker_id, incarnation in self._departures.items()
+            ],
         )
 
     def restore(self, snapshot: ttypes.WorkSnapshot | None) -> None:
@@ -174,6 +187,10 @@
         self._jobs = {record.job.job_id: record for record in snapshot.jobs}
         self._workers = {w.worker_id: w for w in snapshot.workers}
         self._waves = {wave.number: wave for wave in snapshot.waves}
+        self._departures = {
+            departure.worker_id: departure.incarnation
+            for departure in snapshot.departures or ()
+        }
         for record in snapshot.jobs:
             self._update_active(record)
             for key, task in layout.iter_tasks(record):
@@ -416,9 +433,17 @@
             return
         if worker.state == ttypes.WorkerState.GONE:
             self._workers.pop(worker.worker_id, None)
+            if worker.has_left:
+                self._add_departure(worker)
         else:
             self._workers[worker.worker_id] = worker
 
+    def _add_departure(self, worker: ttypes.WorkerRecord) -> None:
+        self._departures.pop(worker.worker_id, None)
+        self._departures[worker.worker_id] = worker.incarnation
+        if len(self._departures) > DEPARTURES_LIMIT:
+            del self._departures[next(iter(self._departures))]
+
     def _apply_wave_begun(self, begun: ttypes.WaveBegun, now_ms: int) -> None:
         wave = self._waves.get(begun.number)
         if wave is None:
--- a/schema/workload.thrift
+++ b/schema/workload.thrift
@@ -101,6 +101,10 @@
   10: list<string> labels
   // Host that the worker is one life of; empty if it does not say.
   11: string machine
+  // Sequence of the report that changed this record last.
+  12: optional i64 sequence
+  // Set with the state `GONE` if the worker has said that it ends.
+  13: optional bool has_left
 }
 
 struct WorkerReport {
@@ -234,6 +238,12 @@
   8: optional list<WaveBegun> begun
 }
 
+// Incarnation of a worker that has said that it ends.
+struct Departure {
+  1: string worker_id
+  2: i64 incarnation
+}
+
 struct WorkSnapshot {
   1: optional WorkConfig config
   2: list<JobRecord> jobs
@@ -241,6 +251,7 @@
   4: list<Wave> waves
   // Whether the build that wrote this records crashes under tasks.
   5: optional bool records_crashes
+  6: optional list<Departure> departures
 }
 
 enum JobOperation { SUBMIT = 1, READ = 2, CANCEL = 3, COUNT = 4 }
