Close at most a quarter of a pool for tasks with a single crash

Cause: a reservation for each suspect without a bound. Change: tasks with one crash run apart only while less than a quarter of the pool is closed; otherwise they start like others. A task with two crashes always runs apart.

--- a/banyantrack/tests/test_crashes.py
+++ b/banyantrack/tests/test_crashes.py
@@ -376,6 +376,28 @@
         placed = self.start()
         self.assertEqual(2, len(set(placed.values())))
 
+    def test_many_suspects_leave_room_for_an_urgent_gang(self) -> None:
+        self.state = builders.state(
+            *(builders.worker(f'w{number}') for number in range(8))
+        )
+        for name in 'abcdef':
+            self.suspect(name, 'm-none')
+        self.assertEqual(6, len(self.start()))
+        gang = builders.step(count=5, accelerators=8, gang=True)
+        builders.submit(self.state, builders.job('g', gang), name='urgent')
+        self.assertEqual(5, len(self.start(builders.NOW_MS + 500)))
+
+    def test_task_that_crashed_two_hosts_runs_apart_in_any_case(self) -> None:
+        for name in 'abcd':
+            self.suspect(name, 'm-none')
+        task = self.state.task(layout.TaskId('d', 0, 0, 0))
+        task.suspect_crashes = ['m-none', 'm-other']
+        worker = self.start()['d', 0]
+        builders.submit(self.state, builders.job('e', builders.step(count=32)))
+        soon = self.start(builders.NOW_MS + 500)
+        self.assertTrue(soon)
+        self.assertNotIn(worker, soon.values())
+
     def test_suspect_starts_although_every_host_is_in_use(self) -> None:
         builders.submit(self.state, builders.job('b', builders.step(count=28)))
         self.start()
--- a/banyantrack/workload/crashes.py
+++ b/banyantrack/workload/crashes.py
@@ -181,9 +181,14 @@
     return {run: role if run in suspects else Role.BESIDE for run in ages_s}
 
 
+def crash_count(task: ttypes.TaskRecord) -> int:
+    """Returns how many crashes a task is suspected of."""
+    return len(task.suspect_crashes or ())
+
+
 def is_suspect(task: ttypes.TaskRecord) -> bool:
     """Whether a worker may have crashed because of a task."""
-    return bool(task.suspect_crashes)
+    return crash_count(task) > 0
 
 
 def must_give_up(task: ttypes.TaskRecord, role: Role, host: str) -> bool:
--- a/banyantrack/workload/isolation.py
+++ b/banyantrack/workload/isolation.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import collections
 import dataclasses
 import typing
 
@@ -15,6 +16,7 @@
 if typing.TYPE_CHECKING:
     import collections.abc
 
+    from banyantrack.generated.workload import ttypes
     from banyantrack.workload import capacity
     from banyantrack.workload import units as units_module
 
@@ -22,6 +24,8 @@
 # jobs. It is longer than `crashes.RECENT_START_S`, since a run starts some
 # time after its start is recorded.
 PROBATION_MS = 1500
+# Share of a pool's workers that are closed for tasks with a single crash.
+MAX_RESERVED_SHARE = 0.25
 # Cost of the loss of an urgent run, in other runs.
 URGENT_RUN_COST = 100
 
@@ -61,6 +65,9 @@
     def __init__(self, fleet: capacity.Fleet, now_ms: int) -> None:
         # Job that a worker is reserved for, by worker id.
         self._reserved: dict[str, str] = {}
+        # Number of reserved workers, and of all workers, by pool.
+        self._reserved_counts: collections.Counter[str] = collections.Counter()
+        self._sizes = collections.Counter(w.record.pool for w in fleet)
         # Jobs with a run that has just started, by worker id.
         self._recent: dict[str, set[str]] = {}
         for worker in fleet:
@@ -70,25 +77,46 @@
                 self.note_start(
                     worker,
                     run.key.job_id,
-                    suspect=crashes.is_suspect(run.task),
+                    apart=self.must_run_apart(worker.record.pool, [run.task]),
                 )
 
     def allows(self, worker: capacity.WorkerCapacity, job_id: str) -> bool:
         """Whether runs of a job may start on a worker."""
         return self._reserved.get(worker.record.worker_id, job_id) == job_id
 
+    def must_run_apart(
+        self, pool: str, tasks: collections.abc.Iterable[ttypes.TaskRecord]
+    ) -> bool:
+        """Whether tasks have to run apart from new runs of other jobs.
+
+        When many suspects start at once, most of them only ran beside the
+        cause. So that urgent jobs still find workers, all but some of the
+        tasks with one crash then start like others.
+
+        Args:
+            pool: Pool of the tasks.
+            tasks: Tasks that start.
+        """
+        count = max((crashes.crash_count(task) for task in tasks), default=0)
+        most = max(int(self._sizes[pool] * MAX_RESERVED_SHARE), 1)
+        return count > 1 or (count == 1 and self._reserved_counts[pool] < most)
+
     def note_start(
-        self,
-        worker: capacity.WorkerCapacity,
-        job_id: str,
-        *,
-        suspect: bool,
+        self, worker: capacity.WorkerCapacity, job_id: str, *, apart: bool
     ) -> None:
-        """Records a start; that of a suspect reserves the worker."""
-        worker_id = worker.record.worker_id
-        self._recent.setdefault(worker_id, set()).add(job_id)
-        if suspect:
-            self._reserved[worker_id] = job_id
+        """Records a start.
+
+        Args:
+            worker: The worker.
+            job_id: The job of the run.
+            apart: Whether the worker is closed to other jobs.
+        """
+        record = worker.record
+        self._recent.setdefault(record.worker_id, set()).add(job_id)
+        if apart:
+            if record.worker_id not in self._reserved:
+                self._reserved_counts[record.pool] += 1
+            self._reserved[record.worker_id] = job_id
 
     def preference(
         self, unit: units_module.Unit
--- a/banyantrack/workload/planner.py
+++ b/banyantrack/workload/planner.py
@@ -234,7 +234,11 @@
         candidates = _exclude_failed(unit, candidates)
         need = capacity.resources_of(unit.step)
         idle = fleet.is_mostly_idle(unit.record.queue.pool)
-        if unit.suspects:
+        apart = isolation.must_run_apart(
+            unit.record.queue.pool,
+            [unit.tasks[index] for index in unit.members[: unit.suspects]],
+        )
+        if apart:
             chosen = _choose_for_suspects(unit, candidates, need, isolation)
         else:
             chosen = self._choose(unit, candidates, need, now_ms, idle)
@@ -243,7 +247,9 @@
         for position, worker in enumerate(chosen):
             worker.reserve(need)
             isolation.note_start(
-                worker, unit.key.job_id, suspect=position < unit.suspects
+                worker,
+                unit.key.job_id,
+                apart=apart and position < unit.suspects,
             )
         unchecked = _unchecked(unit, chosen)
         if unchecked:
