Give up no job that only ran beside the one that crashes its hosts

Trace: the job had started beside a task that crashes its hosts. Both were suspects. As a quarter of six workers is one, both started again on the same worker, which crashed again; the third time the innocent one ran elsewhere, two tasks of another job started beside it, and that executor was restarted within a second by the schedule. Three crashes as a suspect were enough to give up.

Cause: a count of suspicions was taken for proof, and a suspicion never ended, although its cause had been found.

Change: (1) when a job is given up, its crashes no longer count for the other suspects; the crashes of a task hold the worker's incarnation for that. (3) A task with two crashes waits, ten seconds from its last start at most, for a worker on which no other job has just started, so that its next crash is proof; such a worker is held for it, but not from urgent jobs.

--- a/banyantrack/testing/work_builders.py
+++ b/banyantrack/testing/work_builders.py
@@ -270,4 +270,5 @@
     for record in older.jobs:
         for task in record.tasks:
             task.suspect_crashes = None
+            task.suspect_incarnations = None
     return older
--- a/banyantrack/workload/crashes.py
+++ b/banyantrack/workload/crashes.py
@@ -11,6 +11,7 @@
 
 import dataclasses
 import enum
+import itertools
 import typing
 
 from banyantrack.generated.workload import ttypes
@@ -34,9 +35,11 @@
 # Workers that crash within this time of each other have a common cause, unless
 # each of them has a suspect of its own.
 COMMON_CAUSE_S = 0.25
-# Crashes with a suspect after which its job is given up in any case. Two are
-# enough if the last one has no other suspect and was on another host.
-MAX_SUSPECT_CRASHES = 3
+# Crashes with a suspect after which its job is given up in any case.
+MAX_SUSPECT_CRASHES = 4
+# The same if the last crash has no other suspect. Two are enough if that one
+# was on another host.
+MAX_SOLE_SUSPECT_CRASHES = 3
 Role = ttypes.CrashRole
 Silence = worker_client.Silence
 # Signs that the process of a worker has ended while its host was reachable.
@@ -202,7 +205,53 @@
     if role == Role.BESIDE:
         return False
     earlier = task.suspect_crashes or []
-    if len(earlier) + 1 >= MAX_SUSPECT_CRASHES:
-        return True
+    count = len(earlier) + 1
+    if role != Role.SOLE_SUSPECT:
+        return count >= MAX_SUSPECT_CRASHES
     # A single host that crashes again and again may itself be the cause.
-    return role == Role.SOLE_SUSPECT and any(h != host for h in earlier)
+    return count >= MAX_SOLE_SUSPECT_CRASHES or any(h != host for h in earlier)
+
+
+def add_crash(task: ttypes.TaskRecord, host: str, incarnation: int) -> None:
+    """Records a crash with a task as a suspect.
+
+    Args:
+        task: The task.
+        host: Host that crashed.
+        incarnation: Incarnation of the worker that crashed.
+    """
+    found = suspected_crashes(task)
+    _set_crashes(task, [*found, (host, incarnation)])
+
+
+def suspected_crashes(task: ttypes.TaskRecord) -> list[tuple[str, int]]:
+    """Returns host and incarnation of each crash that a task is suspected of.
+
+    The incarnation is 0 if it was not recorded.
+    """
+    hosts = task.suspect_crashes or []
+    incarnations = task.suspect_incarnations or []
+    return list(itertools.zip_longest(hosts, incarnations, fillvalue=0))[
+        : len(hosts)
+    ]
+
+
+def clear(
+    task: ttypes.TaskRecord,
+    explained: collections.abc.Container[tuple[str, int]],
+) -> None:
+    """Removes crashes from a suspect, since another task was the cause.
+
+    Args:
+        task: The suspect.
+        explained: Host and incarnation of the crashes.
+    """
+    found = suspected_crashes(task)
+    _set_crashes(task, [crash for crash in found if crash not in explained])
+
+
+def _set_crashes(
+    task: ttypes.TaskRecord, found: list[tuple[str, int]]
+) -> None:
+    task.suspect_crashes = [host for host, _ in found] or None
+    task.suspect_incarnations = [number for _, number in found] or None
--- a/banyantrack/workload/isolation.py
+++ b/banyantrack/workload/isolation.py
@@ -9,6 +9,7 @@
 
 import collections
 import dataclasses
+import itertools
 import typing
 
 from banyantrack.workload import crashes
@@ -24,6 +25,9 @@
 # jobs. It is longer than `crashes.RECENT_START_S`, since a run starts some
 # time after its start is recorded.
 PROBATION_MS = 1500
+# Time since the start of its last run in which a suspect waits for a quiet
+# worker: that of a crash and its detection, and of a probation.
+MAX_QUIET_WAIT_MS = 10_000
 # Share of a pool's workers that are closed for tasks with a single crash.
 MAX_RESERVED_SHARE = 0.25
 # Cost of the loss of an urgent run, in other runs.
@@ -38,7 +42,7 @@
     The suspects of a unit are a part of their own. A gang has only one part.
     """
     tasks = unit.tasks
-    suspects = [i for i in unit.members if crashes.is_suspect(tasks[i])]
+    suspects = [i for i in unit.members if tasks[i].suspect_crashes]
     if not suspects:
         yield unit
     elif unit.step.gang or len(suspects) == len(unit.members):
@@ -54,6 +58,25 @@
         )
 
 
+def may_wait(unit: units_module.Unit, now_ms: int) -> bool:
+    """Whether a unit waits for workers on which no other job has just started.
+
+    Only tasks with two crashes do, so that the next crash proves the cause.
+
+    Args:
+        unit: The unit.
+        now_ms: Time of day, in milliseconds since 1970.
+    """
+    if not unit.suspects:
+        return False
+    tasks = unit.tasks
+    return any(
+        crashes.crash_count(tasks[index]) > 1
+        and now_ms - tasks[index].started_ms < MAX_QUIET_WAIT_MS
+        for index in unit.members[: unit.suspects]
+    )
+
+
 class Isolation:
     """Workers that are closed to other jobs, in one round of planning.
 
@@ -68,6 +91,8 @@
         # Number of reserved workers, and of all workers, by pool.
         self._reserved_counts: collections.Counter[str] = collections.Counter()
         self._sizes = collections.Counter(w.record.pool for w in fleet)
+        # Job of suspects that wait for a worker to be quiet, by worker id.
+        self._held: dict[str, str] = {}
         # Jobs with a run that has just started, by worker id.
         self._recent: dict[str, set[str]] = {}
         for worker in fleet:
@@ -80,9 +105,47 @@
                     apart=self.must_run_apart(worker.record.pool, [run.task]),
                 )
 
-    def allows(self, worker: capacity.WorkerCapacity, job_id: str) -> bool:
-        """Whether runs of a job may start on a worker."""
-        return self._reserved.get(worker.record.worker_id, job_id) == job_id
+    def allows(
+        self, worker: capacity.WorkerCapacity, unit: units_module.Unit
+    ) -> bool:
+        """Whether the runs of a unit may start on a worker."""
+        job_id = unit.key.job_id
+        worker_id = worker.record.worker_id
+        if self._reserved.get(worker_id, job_id) != job_id:
+            return False
+        held_for = self._held.get(worker_id, job_id)
+        return held_for == job_id or unit.priority == 0
+
+    def hold(
+        self,
+        unit: units_module.Unit,
+        workers: collections.abc.Iterable[capacity.WorkerCapacity],
+    ) -> None:
+        """Closes workers to jobs that are not urgent, until a suspect starts.
+
+        Args:
+            unit: Unit with the suspects.
+            workers: Workers of its members, the suspects first.
+        """
+        for worker in itertools.islice(workers, unit.suspects):
+            self._held.setdefault(worker.record.worker_id, unit.key.job_id)
+
+    def are_quiet(
+        self,
+        unit: units_module.Unit,
+        workers: collections.abc.Iterable[capacity.WorkerCapacity],
+    ) -> bool:
+        """Whether no other job has just started where suspects will run.
+
+        Args:
+            unit: Unit with the suspects.
+            workers: Workers of its members, the suspects first.
+        """
+        return not any(
+            self._recent.get(worker.record.worker_id, set())
+            - {unit.key.job_id}
+            for worker in itertools.islice(workers, unit.suspects)
+        )
 
     def must_run_apart(
         self, pool: str, tasks: collections.abc.Iterable[ttypes.TaskRecord]
--- a/banyantrack/workload/planner.py
+++ b/banyantrack/workload/planner.py
@@ -52,6 +52,8 @@
     NO_CAPACITY = 'room'
     CAPACITY_BEING_FREED = 'room-being-freed'
     NOTHING_TO_STOP = 'nothing-to-stop'
+    # It may crash its worker, on which other runs have just started.
+    ISOLATION = 'isolation'
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -152,13 +154,21 @@
         isolation = isolation_module.Isolation(fleet, now_ms)
         kept_free: dict[str, set[capacity.WorkerCapacity]] = {}
         urgent_demand = headroom.urgent_demand(self._state, now_ms)
-        for unit in units_module.ready_units(
-            self._state,
-            self._durations,
-            self._values,
-            now_ms=now_ms,
-            blocked=blocked,
-        ):
+        units = [
+            part
+            for unit in units_module.ready_units(
+                self._state,
+                self._durations,
+                self._values,
+                now_ms=now_ms,
+                blocked=blocked,
+            )
+            for part in isolation_module.split_suspects(unit)
+        ]
+        for unit in units:
+            if isolation_module.may_wait(unit, now_ms):
+                _hold_for_suspects(fleet, unit, isolation)
+        for unit in units:
             approved = None
             if unit.record.queue.advice is not None:
                 approved = approvals.get(unit.key) or advice.Approvals()
@@ -169,17 +179,16 @@
                     fleet, pool, urgent_demand.get(pool)
                 )
             excluded = kept_free[pool] if unit.priority > 0 else set()
-            for part in isolation_module.split_suspects(unit):
-                self._plan_unit(
-                    plan,
-                    fleet,
-                    part,
-                    approved,
-                    excluded,
-                    isolation,
-                    now_ms,
-                    stopping,
-                )
+            self._plan_unit(
+                plan,
+                fleet,
+                unit,
+                approved,
+                excluded,
+                isolation,
+                now_ms,
+                stopping,
+            )
         return plan
 
     def _workers_to_keep_free(
@@ -225,7 +234,7 @@
             for worker in fleet.of_pool(unit.record.queue.pool)
             if worker.usable
             and worker not in excluded
-            and isolation.allows(worker, unit.key.job_id)
+            and isolation.allows(worker, unit)
             and _may_run(worker, unit)
         ]
         candidates = eligible
@@ -244,6 +253,15 @@
             chosen = self._choose(unit, candidates, need, now_ms, idle)
         if unit.step.gang and len(chosen) < len(unit.members):
             chosen = []
+        if (
+            apart
+            and isolation_module.may_wait(unit, now_ms)
+            and not isolation.are_quiet(unit, chosen)
+        ):
+            plan.waiting[unit.key] = _waiting(
+                unit, Cause.ISOLATION, candidates
+            )
+            return
         for position, worker in enumerate(chosen):
             worker.reserve(need)
             isolation.note_start(
@@ -503,6 +521,25 @@
     return chosen
 
 
+def _hold_for_suspects(
+    fleet: capacity.Fleet,
+    unit: units_module.Unit,
+    isolation: isolation_module.Isolation,
+) -> None:
+    """Holds the workers on which the suspects of a unit will start next."""
+    need = capacity.resources_of(unit.step)
+    candidates = [
+        worker
+        for worker in fleet.of_pool(unit.record.queue.pool)
+        if worker.usable
+        and isolation.allows(worker, unit)
+        and _may_run(worker, unit)
+    ]
+    isolation.hold(
+        unit, _choose_for_suspects(unit, candidates, need, isolation)
+    )
+
+
 def _may_run(worker: capacity.WorkerCapacity, unit: units_module.Unit) -> bool:
     label = unit.step.required_label
     return not label or label in worker.record.labels
--- a/banyantrack/workload/state.py
+++ b/banyantrack/workload/state.py
@@ -11,6 +11,7 @@
 
 from banyantrack.core import findings
 from banyantrack.generated.workload import ttypes
+from banyantrack.workload import crashes
 from banyantrack.workload import layout
 from banyantrack.workload import routing
 from banyantrack.workload import validation
@@ -173,10 +174,10 @@
         build that does not record them.
         """
         crashes_before = {
-            key: task.suspect_crashes
+            key: (task.suspect_crashes, task.suspect_incarnations)
             for record in self._active.values()
             for key, task in layout.iter_tasks(record)
-            if task.suspect_crashes
+            if crashes.is_suspect(task)
         }
         self.__init__()
         self._generation += 1
@@ -198,10 +199,11 @@
                     self._runs.setdefault(task.worker_id, {})[key] = task
         if snapshot.records_crashes:
             return
-        for key, hosts in crashes_before.items():
+        for key, (hosts, incarnations) in crashes_before.items():
             task = self.task(key)
             if task is not None:
                 task.suspect_crashes = hosts
+                task.suspect_incarnations = incarnations
 
     # Configuration and customers' calls.
 
@@ -354,6 +356,7 @@
             self._mark_failed(record, key, step, task, end.worker_id)
         if record.state not in FINISHED:
             if end.give_up:
+                self._clear_other_suspects(task)
                 self._finish(record, State.FAILED, now_ms)
             else:
                 self._update_job_state(record, step, task, now_ms)
@@ -367,14 +370,22 @@
             ttypes.CrashRole.SUSPECT,
             ttypes.CrashRole.SOLE_SUSPECT,
         ):
-            earlier = task.suspect_crashes or []
-            task.suspect_crashes = [*earlier, end.crashed_machine or '']
+            crashes.add_crash(task, end.crashed_machine or '', end.incarnation)
         elif (
             task.suspect_crashes
             and end.kind not in _ENDS_OF_UNKNOWN_TIME
             and now_ms - task.started_ms >= CLEARED_AFTER_MS
         ):
             task.suspect_crashes = None
+            task.suspect_incarnations = None
+
+    def _clear_other_suspects(self, cause: ttypes.TaskRecord) -> None:
+        """Removes the crashes of a task that is given up from the others."""
+        explained = crashes.suspected_crashes(cause)
+        for record in self._active.values():
+            for task in record.tasks:
+                if task is not cause and crashes.is_suspect(task):
+                    crashes.clear(task, explained)
 
     def _mark_done(
         self,
--- a/schema/workload.thrift
+++ b/schema/workload.thrift
@@ -178,6 +178,8 @@
   10: i32 failed_run
   // Hosts that crashed with the task as a suspect, one entry a crash.
   11: optional list<string> suspect_crashes
+  // Incarnation of the worker in each of these crashes.
+  12: optional list<i64> suspect_incarnations
 }
 
 enum JobState {
