Prove no crash by a start that its worker did not confirm

Trace: its second start was sent three times to i-0, whose link reset each new connection. Nothing was started there. i-0 crashed within a second for another reason, and as the start might have been carried out, the job was the only suspect: proof.

Change: a start that the worker has not confirmed makes a suspect, as before, but not the only one. The new test fails before: {'a': 2} for {'a': 3}.

--- a/banyantrack/daemons/work_session.py
+++ b/banyantrack/daemons/work_session.py
@@ -484,10 +484,11 @@
 
     def _ages_s(
         self, link: worker_link.WorkerLink, at_s: float
-    ) -> dict[layout.RunId, float]:
+    ) -> dict[layout.RunId, float | None]:
         """Returns the time since the start of each run of a worker.
 
-        Runs whose start was not sent are left out.
+        It is None if the start was not confirmed. Runs whose start was not
+        sent are left out.
 
         Args:
             link: Link to the worker.
@@ -495,7 +496,7 @@
         """
         record = link.record
         now_s, now_ms = clock.steady_s(), clock.now_ms()
-        ages_s = {}
+        ages_s: dict[layout.RunId, float | None] = {}
         for key, task in self._state.live_runs(
             record.worker_id, record.incarnation
         ):
@@ -505,21 +506,23 @@
                 started_s = self._started_at_s(link, key, task.run)
             else:
                 started_s = now_s - (now_ms - task.started_ms) / 1000
-            ages_s[layout.RunId(key, task.run)] = max(at_s - started_s, 0.0)
+            ages_s[layout.RunId(key, task.run)] = (
+                None if started_s is None else max(at_s - started_s, 0.0)
+            )
         return ages_s
 
     def _started_at_s(
         self, link: worker_link.WorkerLink, key: layout.TaskId, run: int
-    ) -> float:
+    ) -> float | None:
         """Returns the steady time at which a run, or its gang, started.
 
-        It is infinite if the start is not confirmed: the order may have been
+        It is None if the start is not confirmed: the order may have been
         carried out at any time.
         """
         started_s = link.started_at_s(key, run)
         record = self._state.jobs.get(key.job_id)
         if started_s is None or record is None:
-            return float('inf')
+            return None
         if not record.job.steps[key.step].gang:
             return started_s
         # A gang begins to work when its last member has started.
@@ -561,9 +564,7 @@
             ):
                 continue
             ages_s = self._ages_s(link, contact_loss.since_s)
-            if min(ages_s.values(), default=float('inf')) > (
-                crashes.RECENT_START_S
-            ):
+            if not any(map(crashes.is_recent, ages_s.values())):
                 return True
         return False
 
--- a/banyantrack/tests/test_work_session.py
+++ b/banyantrack/tests/test_work_session.py
@@ -42,6 +42,8 @@
         record: The worker.
         begun: Jobs whose starts were sent.
         contact_loss: Calls that were refused.
+        started_s: Steady time at which the worker confirmed the starts; None
+            if it did not.
     """
 
     was_reached = True
@@ -49,6 +51,7 @@
     def __init__(self, record: ttypes.WorkerRecord, *begun: str) -> None:
         self.record = record
         self.begun = begun
+        self.started_s: float | None = clock.steady_s()
         self.contact_loss = crashes.ContactLoss(clock.steady_s())
         for silence in (Silence.CLOSED, Silence.REFUSED):
             self.contact_loss.note(silence, clock.steady_s())
@@ -56,8 +59,8 @@
     def may_have_begun(self, key: layout.TaskId, _: int) -> bool:
         return key.job_id in self.begun
 
-    def started_at_s(self, *_: object) -> None:
-        return None
+    def started_at_s(self, *_: object) -> float | None:
+        return self.started_s
 
 
 class SessionTest(testtools.TestCase):
@@ -99,14 +102,19 @@
 class TestSuspects(SessionTest):
     """Only what may have crashed a worker is a suspect."""
 
-    def roles(self, *begun: str, restarted: bool = True) -> dict[str, int]:
+    def roles(
+        self, *begun: str, restarted: bool = True, confirmed: bool = True
+    ) -> dict[str, int]:
         """Crashes the worker; returns roles by job.
 
         Args:
             begun: Jobs whose starts were sent.
             restarted: Whether another process has replaced the worker.
+            confirmed: Whether the worker has confirmed the starts.
         """
         link = _FakeLink(self.state.workers['w1'], *begun)
+        if not confirmed:
+            link.started_s = None
         self.session._links['w1'] = link
         for name in 'ab':
             builders.submit(self.state, builders.job(name))
@@ -124,6 +132,13 @@
         sole = ttypes.CrashRole.SOLE_SUSPECT
         self.assertEqual({'a': sole}, self.roles('a'))
 
+    def test_start_that_was_not_confirmed(self) -> None:
+        # The link may have reset the connection, and something else have
+        # crashed the worker.
+        self.assertEqual(
+            {'a': ttypes.CrashRole.SUSPECT}, self.roles('a', confirmed=False)
+        )
+
     def test_worker_that_refuses_and_has_no_successor_yet(self) -> None:
         # A cut may refuse connections too, so this is no proof of a crash.
         self.assertEqual(
--- a/banyantrack/workload/crashes.py
+++ b/banyantrack/workload/crashes.py
@@ -148,8 +148,13 @@
     return LossCause.SILENCE
 
 
+def is_recent(age_s: float | None) -> bool:
+    """Whether a run had started shortly before a crash, or may have."""
+    return age_s is None or age_s <= RECENT_START_S
+
+
 def crash_roles(
-    ages_s: collections.abc.Mapping[layout.RunId, float],
+    ages_s: collections.abc.Mapping[layout.RunId, float | None],
     *,
     observed: bool,
     replaced: bool,
@@ -158,8 +163,8 @@
     """Returns the role of each run of a worker in its crash.
 
     Args:
-        ages_s: Seconds from the start of each run to the crash; 0 if it is
-            not known whether the run had started.
+        ages_s: Seconds from the start of each run to the crash; None if the
+            worker has not confirmed the start.
         observed: Whether the leader had been in contact with the worker until
             it crashed. Otherwise the time of the crash is not known, but no
             run can have started after it.
@@ -169,17 +174,20 @@
             time.
     """
     suspects: set[layout.RunId] = set()
-    latest_s = min(ages_s.values(), default=0.0)
+    latest_s = min((age or 0.0 for age in ages_s.values()), default=0.0)
     if common_cause:
         pass
     elif observed:
-        suspects = {r for r, age in ages_s.items() if age <= RECENT_START_S}
+        suspects = {r for r, age in ages_s.items() if is_recent(age)}
     elif latest_s <= UNOBSERVED_START_S:
         suspects = {
-            r for r, age in ages_s.items() if age <= latest_s + RECENT_START_S
+            r
+            for r, age in ages_s.items()
+            if (age or 0.0) <= latest_s + RECENT_START_S
         }
     jobs = {run.task.job_id for run in suspects}
-    proved = observed and replaced and len(jobs) == 1
+    confirmed = any(ages_s[run] is not None for run in suspects)
+    proved = observed and replaced and confirmed and len(jobs) == 1
     role = Role.SOLE_SUSPECT if proved else Role.SUSPECT
     return {run: role if run in suspects else Role.BESIDE for run in ages_s}
 
