Stand-in: an executor that has crashed carries out no order

Traced: the leader recorded the loss of i-1 and placed the task anew as it may; the stand-in ended its runs when it crashed, then closed its server, and carried out an order in between, whose run nothing ended any more. A crashed executor now drops orders from the moment its runs end, and one that is down is not restarted twice.

--- a/banyantrack/testing/fake_executor.py
+++ b/banyantrack/testing/fake_executor.py
@@ -295,21 +295,26 @@
             self._tasks.append(await curio.spawn(loop, daemon=True))
 
     async def restart(self) -> None:
-        """Crashes, then starts again under the same id and address."""
+        """Crashes, then starts again under the same id and address.
+
+        One that has crashed already starts again by itself.
+        """
+        if not self.up:
+            return
         await self.crash()
         self._reset()
         await self.open()
 
     async def crash(self) -> None:
         """Ends all tasks and stops without a notice to control."""
+        server, self._server = self._server, None
         for task in self._tasks:
             await task.cancel()
+        # Orders of this incarnation are no longer carried out.
+        self._incarnation = 0
         for run in list(self._runs.values()):
             self._end(run, 'crashed')
-        server, self._server = self._server, None
         await server.close()
-        # Late orders of this incarnation are no longer carried out.
-        self._incarnation = 0
 
     async def _crash_under(self, run: Run) -> None:
         """Crashes this executor soon after a start, then starts it again."""
@@ -373,6 +378,9 @@
 
     async def _serve(self, request: http_server.Request) -> None:
         body = json.loads(await request.read_body(65536) or b'{}')
+        if not self._incarnation:
+            await request.connection.close()
+            return
         if request.header(b'expect-instance') != self.name:
             await request.respond(421, wire.JSON_TYPE, b'{}')
             return
--- a/banyantrack/testing/platform_soak.py
+++ b/banyantrack/testing/platform_soak.py
@@ -254,9 +254,7 @@
             for proxy in self._proxies:
                 await proxy.reset_all()
         elif fault is Fault.RESTART_EXECUTOR:
-            executor = self._rng.choice(self._system.executors)
-            if executor.up:
-                await executor.restart()
+            await self._rng.choice(self._system.executors).restart()
         elif fault is Fault.RESIZE_EXECUTOR:
             executor = self._rng.choice(self._system.executors)
             executor.resize(gpu=self._rng.randrange(ACCELERATORS))
