Prove a second crash only after a first one without other suspects

A job whose first crash had other suspects, and which was the only one in its second, was given up. For one that only ran beside the cause of the first, the second may be a coincidence; it takes a third crash now. Each crash is one record with its host, the worker's incarnation and whether there were other suspects, instead of two lists.

--- a/banyantrack/daemons/work_session.py
+++ b/banyantrack/daemons/work_session.py
@@ -595,7 +595,7 @@
             worker=end.worker_id,
             machine=end.crashed_machine,
             role=role,
-            crashes=len(task.suspect_crashes or ()) if task else None,
+            crashes=crashes.crash_count(task) if task else None,
             give_up=end.give_up,
         )
         self._metrics.counter('banyan_crash_suspects', role=role).add()
--- a/banyantrack/testing/work_builders.py
+++ b/banyantrack/testing/work_builders.py
@@ -270,5 +270,17 @@
     for record in older.jobs:
         for task in record.tasks:
             task.suspect_crashes = None
-            task.suspect_incarnations = None
     return older
+
+
+def suspect_crash(
+    host: str, *, incarnation: int = 1, sole: bool = True
+) -> ttypes.SuspectCrash:
+    """Returns a crash with a task as a suspect.
+
+    Args:
+        host: Host that crashed.
+        incarnation: Incarnation of the worker.
+        sole: Whether no other job is a suspect.
+    """
+    return ttypes.SuspectCrash(host=host, incarnation=incarnation, sole=sole)
--- a/banyantrack/tests/test_crashes.py
+++ b/banyantrack/tests/test_crashes.py
@@ -179,8 +179,11 @@
 class TestGivingUp(testtools.TestCase):
     """A job ends only after crashes that nothing else explains."""
 
-    def gives_up(self, role: Role, host: str, *earlier: str) -> bool:
-        task = ttypes.TaskRecord(suspect_crashes=list(earlier) or None)
+    def gives_up(
+        self, role: Role, host: str, *earlier: str, sole: bool = True
+    ) -> bool:
+        found = [builders.suspect_crash(h, sole=sole) for h in earlier]
+        task = ttypes.TaskRecord(suspect_crashes=found or None)
         return crashes.must_give_up(task, role, host)
 
     def test_first_crash(self) -> None:
@@ -189,6 +192,14 @@
     def test_second_host_with_no_other_suspect(self) -> None:
         self.assertTrue(self.gives_up(Role.SOLE_SUSPECT, 'm2', 'm1'))
 
+    def test_second_host_after_a_crash_with_other_suspects(self) -> None:
+        self.assertFalse(
+            self.gives_up(Role.SOLE_SUSPECT, 'm2', 'm1', sole=False)
+        )
+        self.assertTrue(
+            self.gives_up(Role.SOLE_SUSPECT, 'm3', 'm1', 'm2', sole=False)
+        )
+
     def test_second_crash_of_one_host(self) -> None:
         self.assertFalse(self.gives_up(Role.SOLE_SUSPECT, 'm1', 'm1'))
 
@@ -231,12 +242,16 @@
             give_up=give_up,
         )
 
+    def hosts(self, task: ttypes.TaskRecord) -> list[str]:
+        """Returns the hosts that crashed with a task as a suspect."""
+        return [crash.host for crash in task.suspect_crashes]
+
     def test_crashes_outlive_a_snapshot(self) -> None:
         self.crash('m-w1')
         data = codec.encode(self.state.snapshot())
         restored = state_module.WorkState()
         restored.restore(codec.decode(ttypes.WorkSnapshot, data))
-        self.assertEqual(['m-w1'], restored.task(self.key).suspect_crashes)
+        self.assertEqual(['m-w1'], self.hosts(restored.task(self.key)))
 
     def test_job_that_is_given_up_has_failed(self) -> None:
         self.crash('m-w1')
@@ -257,7 +272,7 @@
                 crashed_machine='m-w1',
             )
         innocent = self.state.task(layout.TaskId('b', 0, 0, 0))
-        self.assertEqual(['m-w1'], innocent.suspect_crashes)
+        self.assertEqual(['m-w1'], self.hosts(innocent))
         (guilty, _) = builders.start(self.state, builders.plan(self.state))
         self.assertEqual('a', guilty.task.job_id)
         builders.end(
@@ -273,10 +288,10 @@
     def test_other_crashes_of_a_cleared_suspect_still_count(self) -> None:
         key = layout.TaskId('b', 0, 0, 0)
         builders.submit(self.state, builders.job('b'))
-        self.state.task(key).suspect_crashes = ['m-w1', 'm-w9']
-        self.state.task(key).suspect_incarnations = [1, 4]
-        self.state.task(self.key).suspect_crashes = ['m-w1']
-        self.state.task(self.key).suspect_incarnations = [1]
+        shared = builders.suspect_crash('m-w1', sole=False)
+        other = builders.suspect_crash('m-w1', incarnation=4)
+        self.state.task(key).suspect_crashes = [shared, other]
+        self.state.task(self.key).suspect_crashes = [shared]
         (start, _) = builders.start(self.state, builders.plan(self.state))
         builders.end(
             self.state,
@@ -286,8 +301,7 @@
             crashed_machine='m-w2',
             give_up=True,
         )
-        self.assertEqual(['m-w9'], self.state.task(key).suspect_crashes)
-        self.assertEqual([4], self.state.task(key).suspect_incarnations)
+        self.assertEqual([other], self.state.task(key).suspect_crashes)
 
     def test_run_that_lasts_clears_its_task(self) -> None:
         self.crash('m-w1')
@@ -311,7 +325,7 @@
         snapshot = self.state.snapshot()
         data = codec.encode(builders.without_crashes(snapshot))
         self.state.restore(codec.decode(ttypes.WorkSnapshot, data))
-        self.assertEqual(['m-w1'], self.state.task(self.key).suspect_crashes)
+        self.assertEqual(['m-w1'], self.hosts(self.state.task(self.key)))
 
     def test_snapshot_of_this_build_decides(self) -> None:
         cleared = codec.encode(self.state.snapshot())
@@ -345,7 +359,7 @@
         """Submits a job whose first task crashed a host."""
         builders.submit(self.state, builders.job(job_id, *steps), name=name)
         self.state.task(layout.TaskId(job_id, 0, 0, 0)).suspect_crashes = [
-            host
+            builders.suspect_crash(host)
         ]
 
     def start(
@@ -442,7 +456,9 @@
         for name in 'abcd':
             self.suspect(name, 'm-none')
         task = self.state.task(layout.TaskId('d', 0, 0, 0))
-        task.suspect_crashes = ['m-none', 'm-other']
+        task.suspect_crashes = [
+            builders.suspect_crash(host) for host in ('m-none', 'm-other')
+        ]
         worker = self.start()['d', 0]
         builders.submit(self.state, builders.job('e', builders.step(count=32)))
         soon = self.start(builders.NOW_MS + 500)
@@ -456,7 +472,9 @@
         self.start()
         self.suspect('a', 'm-none')
         task = self.state.task(layout.TaskId('a', 0, 0, 0))
-        task.suspect_crashes = ['m-none', 'm-other']
+        task.suspect_crashes = [
+            builders.suspect_crash(host) for host in ('m-none', 'm-other')
+        ]
         task.started_ms = builders.NOW_MS - 4000
         builders.submit(self.state, builders.job('c', builders.step(count=4)))
         # The only worker with room is kept for it, and is not quiet yet.
@@ -470,7 +488,9 @@
         self.start()
         self.suspect('a', 'm-none')
         task = self.state.task(layout.TaskId('a', 0, 0, 0))
-        task.suspect_crashes = ['m-none', 'm-other']
+        task.suspect_crashes = [
+            builders.suspect_crash(host) for host in ('m-none', 'm-other')
+        ]
         task.started_ms = builders.NOW_MS - 4000
         builders.submit(self.state, builders.job('c'), name='urgent')
         self.assertEqual({('c', 0)}, set(self.start(builders.NOW_MS + 100)))
@@ -480,7 +500,9 @@
         self.start()
         self.suspect('a', 'm-none')
         task = self.state.task(layout.TaskId('a', 0, 0, 0))
-        task.suspect_crashes = ['m-none', 'm-other']
+        task.suspect_crashes = [
+            builders.suspect_crash(host) for host in ('m-none', 'm-other')
+        ]
         task.started_ms = builders.NOW_MS - 11_000
         self.assertIn(('a', 0), self.start(builders.NOW_MS + 100))
 
--- a/banyantrack/workload/crashes.py
+++ b/banyantrack/workload/crashes.py
@@ -11,7 +11,6 @@
 
 import dataclasses
 import enum
-import itertools
 import typing
 
 from banyantrack.generated.workload import ttypes
@@ -37,8 +36,8 @@
 COMMON_CAUSE_S = 0.25
 # Crashes with a suspect after which its job is given up in any case.
 MAX_SUSPECT_CRASHES = 4
-# The same if the last crash has no other suspect. Two are enough if that one
-# was on another host.
+# The same if the last crash has no other suspect. Two are enough if neither
+# has one and they were on two hosts.
 MAX_SOLE_SUSPECT_CRASHES = 3
 Role = ttypes.CrashRole
 Silence = worker_client.Silence
@@ -217,34 +216,27 @@
     if role != Role.SOLE_SUSPECT:
         return count >= MAX_SUSPECT_CRASHES
     # A single host that crashes again and again may itself be the cause.
-    return count >= MAX_SOLE_SUSPECT_CRASHES or any(h != host for h in earlier)
+    return count >= MAX_SOLE_SUSPECT_CRASHES or any(
+        crash.sole and crash.host != host for crash in earlier
+    )
 
 
-def add_crash(task: ttypes.TaskRecord, host: str, incarnation: int) -> None:
+def add_crash(task: ttypes.TaskRecord, end: ttypes.RunEnd) -> None:
     """Records a crash with a task as a suspect.
 
     Args:
         task: The task.
-        host: Host that crashed.
-        incarnation: Incarnation of the worker that crashed.
-    """
-    found = suspected_crashes(task)
-    _set_crashes(task, [*found, (host, incarnation)])
-
-
-def suspected_crashes(task: ttypes.TaskRecord) -> list[tuple[str, int]]:
-    """Returns host and incarnation of each crash that a task is suspected of.
-
-    The incarnation is 0 if it was not recorded.
+        end: End of its run.
     """
-    hosts = task.suspect_crashes or []
-    incarnations = task.suspect_incarnations or []
-    return list(itertools.zip_longest(hosts, incarnations, fillvalue=0))[
-        : len(hosts)
-    ]
+    crash = ttypes.SuspectCrash(
+        host=end.crashed_machine or '',
+        incarnation=end.incarnation,
+        sole=end.crash_role == Role.SOLE_SUSPECT,
+    )
+    task.suspect_crashes = [*(task.suspect_crashes or ()), crash]
 
 
-def clear(
+def clear_suspect(
     task: ttypes.TaskRecord,
     explained: collections.abc.Container[tuple[str, int]],
 ) -> None:
@@ -254,12 +246,8 @@
         task: The suspect.
         explained: Host and incarnation of the crashes.
     """
-    found = suspected_crashes(task)
-    _set_crashes(task, [crash for crash in found if crash not in explained])
-
-
-def _set_crashes(
-    task: ttypes.TaskRecord, found: list[tuple[str, int]]
-) -> None:
-    task.suspect_crashes = [host for host, _ in found] or None
-    task.suspect_incarnations = [number for _, number in found] or None
+    task.suspect_crashes = [
+        crash
+        for crash in task.suspect_crashes or ()
+        if (crash.host, crash.incarnation) not in explained
+    ] or None
--- a/banyantrack/workload/isolation.py
+++ b/banyantrack/workload/isolation.py
@@ -222,7 +222,11 @@
 
 
 def _crashed_hosts(unit: units_module.Unit) -> set[str]:
-    return {host for task in unit.tasks for host in task.suspect_crashes or ()}
+    return {
+        crash.host
+        for task in unit.tasks
+        for crash in task.suspect_crashes or ()
+    }
 
 
 def _host(worker: capacity.WorkerCapacity) -> str:
--- a/banyantrack/workload/state.py
+++ b/banyantrack/workload/state.py
@@ -174,7 +174,7 @@
         build that does not record them.
         """
         crashes_before = {
-            key: (task.suspect_crashes, task.suspect_incarnations)
+            key: task.suspect_crashes
             for record in self._active.values()
             for key, task in layout.iter_tasks(record)
             if crashes.is_suspect(task)
@@ -199,11 +199,10 @@
                     self._runs.setdefault(task.worker_id, {})[key] = task
         if snapshot.records_crashes:
             return
-        for key, (hosts, incarnations) in crashes_before.items():
+        for key, suspect_crashes in crashes_before.items():
             task = self.task(key)
             if task is not None:
-                task.suspect_crashes = hosts
-                task.suspect_incarnations = incarnations
+                task.suspect_crashes = suspect_crashes
 
     # Configuration and customers' calls.
 
@@ -370,22 +369,24 @@
             ttypes.CrashRole.SUSPECT,
             ttypes.CrashRole.SOLE_SUSPECT,
         ):
-            crashes.add_crash(task, end.crashed_machine or '', end.incarnation)
+            crashes.add_crash(task, end)
         elif (
             task.suspect_crashes
             and end.kind not in _ENDS_OF_UNKNOWN_TIME
             and now_ms - task.started_ms >= CLEARED_AFTER_MS
         ):
             task.suspect_crashes = None
-            task.suspect_incarnations = None
 
     def _clear_other_suspects(self, cause: ttypes.TaskRecord) -> None:
         """Removes the crashes of a task that is given up from the others."""
-        explained = crashes.suspected_crashes(cause)
+        explained = {
+            (crash.host, crash.incarnation)
+            for crash in cause.suspect_crashes or ()
+        }
         for record in self._active.values():
             for task in record.tasks:
                 if task is not cause and crashes.is_suspect(task):
-                    crashes.clear(task, explained)
+                    crashes.clear_suspect(task, explained)
 
     def _mark_done(
         self,
--- a/schema/workload.thrift
+++ b/schema/workload.thrift
@@ -163,6 +163,15 @@
   9: optional bool give_up
 }
 
+// A crash of a worker with a task as a suspect.
+struct SuspectCrash {
+  1: string host
+  // Incarnation of the worker.
+  2: i64 incarnation
+  // Whether no other job is a suspect.
+  3: bool sole
+}
+
 struct TaskRecord {
   1: i32 run
   // Worker of the run that may be alive; empty if there is none.
@@ -176,10 +185,7 @@
   9: string last_failed_on
   // Latest run that failed; a gang's members share it.
   10: i32 failed_run
-  // Hosts that crashed with the task as a suspect, one entry a crash.
-  11: optional list<string> suspect_crashes
-  // Incarnation of the worker in each of these crashes.
-  12: optional list<i64> suspect_incarnations
+  11: optional list<SuspectCrash> suspect_crashes
 }
 
 enum JobState {
