--- a/banyantrack/testing/fake_executor.py
+++ b/banyantrack/testing/fake_executor.py
@@ -295,12 +295,7 @@
             self._tasks.append(await curio.spawn(loop, daemon=True))
 
     async def restart(self) -> None:
-        """Crashes, then starts again under the same id and address.
-
-        One that has crashed already starts again by itself.
-        """
-        if not self.up:
-            return
+        """Crashes, then starts again under the same id and address."""
         await self.crash()
         self._reset()
         await self.open()
@@ -308,6 +303,8 @@
     async def crash(self) -> None:
         """Ends all tasks and stops without a notice to control."""
         server, self._server = self._server, None
+        if server is None:
+            return
         for task in self._tasks:
             await task.cancel()
         # Orders of this incarnation are no longer carried out.
--- a/banyantrack/testing/platform_soak.py
+++ b/banyantrack/testing/platform_soak.py
@@ -254,7 +254,10 @@
             for proxy in self._proxies:
                 await proxy.reset_all()
         elif fault is Fault.RESTART_EXECUTOR:
-            await self._rng.choice(self._system.executors).restart()
+            executor = self._rng.choice(self._system.executors)
+            # One that a task has crashed starts again by itself.
+            if executor.up:
+                await executor.restart()
         elif fault is Fault.RESIZE_EXECUTOR:
             executor = self._rng.choice(self._system.executors)
             executor.resize(gpu=self._rng.randrange(ACCELERATORS))
