--- a/banyantrack/tests/test_crashes.py
+++ b/banyantrack/tests/test_crashes.py
@@ -354,13 +354,35 @@
         )
 
     def suspect(
-        self, job_id: str, host: str, *steps: ttypes.Step, name: str = 'usual'
+        self,
+        job_id: str,
+        *hosts: str,
+        step: ttypes.Step | None = None,
+        last_start_ms: int = 0,
     ) -> None:
-        """Submits a job whose first task crashed a host."""
-        builders.submit(self.state, builders.job(job_id, *steps), name=name)
-        self.state.task(layout.TaskId(job_id, 0, 0, 0)).suspect_crashes = [
-            builders.suspect_crash(host)
-        ]
+        """Submits a job whose first task crashed hosts.
+
+        Args:
+            job_id: Its id.
+            *hosts: The hosts.
+            step: Its step; by default one of one task.
+            last_start_ms: Time of the last start of the task.
+        """
+        steps = () if step is None else (step,)
+        builders.submit(self.state, builders.job(job_id, *steps))
+        task = self.state.task(layout.TaskId(job_id, 0, 0, 0))
+        task.suspect_crashes = [builders.suspect_crash(host) for host in hosts]
+        task.started_ms = last_start_ms
+
+    def busy_pool_and_suspect(self, *, last_start_ms: int) -> None:
+        """Leaves room for four tasks and submits one that crashed two hosts.
+
+        Args:
+            last_start_ms: Time of its last start.
+        """
+        builders.submit(self.state, builders.job('b', builders.step(count=28)))
+        self.start()
+        self.suspect('a', 'm-none', 'm-other', last_start_ms=last_start_ms)
 
     def start(
         self, now_ms: int = builders.NOW_MS
@@ -406,7 +428,7 @@
             self.state.apply(
                 ttypes.WorkCommand(workers=[worker]), builders.NOW_MS
             )
-        self.suspect('a', 'm-w0', builders.step(data_rack='r1'))
+        self.suspect('a', 'm-w0', step=builders.step(data_rack='r1'))
         self.assertNotEqual('w0', self.start()['a', 0])
 
     def test_suspect_runs_on_a_crashed_host_if_there_is_no_other(
@@ -417,19 +439,21 @@
         self.assertEqual('w0', self.start()['a', 0])
 
     def test_other_tasks_of_the_step_start_as_usual(self) -> None:
-        self.suspect('a', 'm-w0', builders.step(count=4))
+        self.suspect('a', 'm-w0', step=builders.step(count=4))
         placed = self.start()
         self.assertEqual({('a', index) for index in range(4)}, set(placed))
 
     def test_suspects_and_others_share_the_limit_of_a_worker(self) -> None:
         self.state = builders.state(builders.worker('w0'))
-        self.suspect('a', 'm-none', builders.step(count=4, max_per_worker=2))
+        self.suspect(
+            'a', 'm-none', step=builders.step(count=4, max_per_worker=2)
+        )
         self.assertEqual(2, len(self.start()))
 
     def test_whole_gang_starts_with_its_suspect_alone(self) -> None:
         gang = builders.step(count=3, accelerators=8, gang=True)
         builders.submit(self.state, builders.job('b'))
-        self.suspect('a', 'm-w3', gang)
+        self.suspect('a', 'm-w3', step=gang)
         placed = self.start(builders.NOW_MS + 1)
         self.assertEqual(3, sum(job == 'a' for job, _ in placed))
         others = {w for (job, _), w in placed.items() if job == 'b'}
@@ -453,12 +477,9 @@
         self.assertEqual(5, len(self.start(builders.NOW_MS + 500)))
 
     def test_task_that_crashed_two_hosts_runs_apart_in_any_case(self) -> None:
-        for name in 'abcd':
+        for name in 'abc':
             self.suspect(name, 'm-none')
-        task = self.state.task(layout.TaskId('d', 0, 0, 0))
-        task.suspect_crashes = [
-            builders.suspect_crash(host) for host in ('m-none', 'm-other')
-        ]
+        self.suspect('d', 'm-none', 'm-other')
         worker = self.start()['d', 0]
         builders.submit(self.state, builders.job('e', builders.step(count=32)))
         soon = self.start(builders.NOW_MS + 500)
@@ -468,14 +489,7 @@
     def test_task_that_crashed_two_hosts_waits_for_a_quiet_worker(
         self,
     ) -> None:
-        builders.submit(self.state, builders.job('b', builders.step(count=28)))
-        self.start()
-        self.suspect('a', 'm-none')
-        task = self.state.task(layout.TaskId('a', 0, 0, 0))
-        task.suspect_crashes = [
-            builders.suspect_crash(host) for host in ('m-none', 'm-other')
-        ]
-        task.started_ms = builders.NOW_MS - 4000
+        self.busy_pool_and_suspect(last_start_ms=builders.NOW_MS - 4000)
         builders.submit(self.state, builders.job('c', builders.step(count=4)))
         # The only worker with room is kept for it, and is not quiet yet.
         self.assertEqual({}, self.start(builders.NOW_MS + 100))
@@ -484,26 +498,12 @@
     def test_urgent_job_starts_on_a_worker_that_a_suspect_waits_for(
         self,
     ) -> None:
-        builders.submit(self.state, builders.job('b', builders.step(count=28)))
-        self.start()
-        self.suspect('a', 'm-none')
-        task = self.state.task(layout.TaskId('a', 0, 0, 0))
-        task.suspect_crashes = [
-            builders.suspect_crash(host) for host in ('m-none', 'm-other')
-        ]
-        task.started_ms = builders.NOW_MS - 4000
+        self.busy_pool_and_suspect(last_start_ms=builders.NOW_MS - 4000)
         builders.submit(self.state, builders.job('c'), name='urgent')
         self.assertEqual({('c', 0)}, set(self.start(builders.NOW_MS + 100)))
 
     def test_task_that_crashed_two_hosts_does_not_wait_for_ever(self) -> None:
-        builders.submit(self.state, builders.job('b', builders.step(count=28)))
-        self.start()
-        self.suspect('a', 'm-none')
-        task = self.state.task(layout.TaskId('a', 0, 0, 0))
-        task.suspect_crashes = [
-            builders.suspect_crash(host) for host in ('m-none', 'm-other')
-        ]
-        task.started_ms = builders.NOW_MS - 11_000
+        self.busy_pool_and_suspect(last_start_ms=builders.NOW_MS - 11_000)
         self.assertIn(('a', 0), self.start(builders.NOW_MS + 100))
 
     def test_suspect_starts_although_every_host_is_in_use(self) -> None:
