Prove a crash only shortly after a start

Trace: the schedule restarted i-2 0.80 s after the start of its task, and i-5 0.02 s after the next one; it was the only suspect both times.

Later crashes, up to a second, make suspects as before. The new test fails before.

--- a/banyantrack/tests/test_crashes.py
+++ b/banyantrack/tests/test_crashes.py
@@ -120,6 +120,9 @@
             [Role.SOLE_SUSPECT, Role.BESIDE, Role.BESIDE], self.roles(ages_s)
         )
 
+    def test_run_that_lasted_a_while_is_no_proof(self) -> None:
+        self.assertEqual([Role.SUSPECT], self.roles({_run('a'): 0.8}))
+
     def test_two_jobs_that_started_together(self) -> None:
         ages_s = {_run('a'): 0.01, _run('b'): 0.02}
         self.assertEqual([Role.SUSPECT, Role.SUSPECT], self.roles(ages_s))
--- a/banyantrack/workload/crashes.py
+++ b/banyantrack/workload/crashes.py
@@ -24,6 +24,9 @@
 # crashes at its start does so at once; the rest covers busy hosts and answers
 # that are on their way.
 RECENT_START_S = 1.0
+# A crash proves something only within this time after a start; later, it may
+# as well be a coincidence.
+PROOF_START_S = 0.3
 # A new leader that finds a worker gone suspects its latest runs only if they
 # started within this time before: an election and a restart of the worker.
 UNOBSERVED_START_S = 8.0
@@ -185,8 +188,11 @@
             if (age or 0.0) <= latest_s + RECENT_START_S
         }
     jobs = {run.task.job_id for run in suspects}
-    confirmed = any(ages_s[run] is not None for run in suspects)
-    proved = observed and replaced and confirmed and len(jobs) == 1
+    at_start = any(
+        ages_s[run] is not None and ages_s[run] <= PROOF_START_S
+        for run in suspects
+    )
+    proved = observed and replaced and at_start and len(jobs) == 1
     role = Role.SOLE_SUSPECT if proved else Role.SUSPECT
     return {run: role if run in suspects else Role.BESIDE for run in ages_s}
 
