Test of crashing tasks that last: the tasks last

Traced: the second task of the job, which does not crash, was played as one that is done after 150 ms; a lasting task is started again then, which the observer forbids for all tasks. Whether it got so far before the job was given up depended on the machine. Its tasks last for a minute now; no check changed.

--- a/banyantrack/tests/test_crashing_tasks.py
+++ b/banyantrack/tests/test_crashing_tasks.py
@@ -88,7 +88,8 @@
     def test_crashing_task_that_lasts(self) -> None:
         async def scenario(system: platform_system.PlatformSystem) -> None:
             lasting = {'count': 2, 'gpu': 1, 'longRunning': True}
-            await system.submit('usual', JOB, lasting, behaviour=CRASHING)
+            behaviour = CRASHING | {'ms': 60_000}
+            await system.submit('usual', JOB, lasting, behaviour=behaviour)
             await system.wait_state('usual', JOB, 'failed', timeout_s=30)
             self.assertLessEqual(system.observer.crashes[f'{JOB}.0.0.0'], 3)
 
