End the tasks that read from a connection before it is closed

Cause, by reading curio's kernel: a socket that was closed by another task than its reader, in the moment in which data had made the reader ready, stays registered with the selector. A new socket with the same descriptor is then modified instead of registered; epoll does not know it, and the error ends the event loop. A process that resumes finds timeouts and data at once.

Change: a link to a worker and a client of another member wait for the end of their readers before they close the connection. Both new tests fail before ([True] != [False]; 0 != 1). 54 tests of the four files pass.

--- a/banyantrack/daemons/worker_link.py
+++ b/banyantrack/daemons/worker_link.py
@@ -270,7 +270,8 @@
         """Ends the link."""
         self._closed = True
         for task in self._tasks:
-            await task.cancel(blocking=False)
+            await task.cancel()
+        # No task waits for the connection any more.
         await self._client.close()
 
     def note_clock(self, clock_ms: int | None) -> None:
--- a/banyantrack/tests/test_transport.py
+++ b/banyantrack/tests/test_transport.py
@@ -8,6 +8,7 @@
 import collections.abc
 import struct
 import typing
+from unittest import mock
 
 import curio
 import h11
@@ -269,6 +270,25 @@
 
         self.assertEqual('next', self.run_with(scenario))
 
+    def test_no_task_reads_from_a_connection_that_is_closed(self) -> None:
+        # Guards against a process that ends by itself: the event loop fails
+        # when the descriptor of such a connection is used again.
+        async def scenario(address: str) -> list[bool]:
+            client = rpc.RpcClient(address)
+            await client.call(cluster.GossipRequest(entry='a'), timeout_s=1)
+            reader, stream = client._reader, client._stream
+            ended = []
+
+            async def close() -> None:
+                ended.append(reader.terminated)
+                await rpc.FrameStream.close(stream)
+
+            with mock.patch.object(stream, 'close', close):
+                await client.close()
+            return ended
+
+        self.assertEqual([True], self.run_with(scenario))
+
     def test_refused_connection_is_reported_as_not_sent(self) -> None:
         async def run() -> bool:
             client = rpc.RpcClient(free_address())
--- a/banyantrack/tests/test_worker_link.py
+++ b/banyantrack/tests/test_worker_link.py
@@ -31,6 +31,8 @@
         answered_ms: The worker's clock in its last answer.
         lease_end_ms: Latest end of the lease that the worker was asked for,
             on its clock.
+        waiting: Number of calls that wait for their answer.
+        waiting_at_close: The same when the client was closed.
     """
 
     def __init__(self) -> None:
@@ -39,6 +41,8 @@
         self.checks = 0
         self.answered_ms = 0
         self.lease_end_ms = 0
+        self.waiting = 0
+        self.waiting_at_close: int | None = None
 
     @property
     def clock_ms(self) -> int:
@@ -46,10 +50,14 @@
         return int(clock.steady_s() * 1000)
 
     async def _answer(self, wait_ms: int = 0) -> None:
-        if self.silent:
-            await curio.sleep(ORDER_TIMEOUT_S + wait_ms / 1000)
-            raise worker_client.NoAnswerError('no reply', sent=True)
-        await curio.sleep(wait_ms / 1000)
+        self.waiting += 1
+        try:
+            if self.silent:
+                await curio.sleep(ORDER_TIMEOUT_S + wait_ms / 1000)
+                raise worker_client.NoAnswerError('no reply', sent=True)
+            await curio.sleep(wait_ms / 1000)
+        finally:
+            self.waiting -= 1
         self.answered_ms = self.clock_ms
 
     async def _order(self) -> worker_client.OrderReply:
@@ -89,7 +97,8 @@
         )
 
     async def close(self) -> None:
-        """Closes nothing."""
+        """Closes nothing; notes the calls that still wait."""
+        self.waiting_at_close = self.waiting
 
 
 class _FakeOwner:
@@ -175,6 +184,13 @@
 
         virtual.run(main)
 
+    def run_task(self, client: _FakeClient, owner: _FakeOwner) -> None:
+        """Lets one task run on the worker."""
+        key = layout.TaskId('a' * 16, 0, 0, 0)
+        owner.runs = [(key, state_module._new_task())]
+        owner.runs[0][1].run = 1
+        client.running = [worker_client.RunningTask(key, 1, '', 10, None)]
+
 
 class TestSilence(LinkTest):
     """A silent worker's runs are given up only once they cannot be alive."""
@@ -185,7 +201,7 @@
             client: _FakeClient,
             owner: _FakeOwner,
         ) -> None:
-            self._run_task(client, owner)
+            self.run_task(client, owner)
             await curio.sleep(3.0)
             client.silent = True
             await curio.sleep(20.0)
@@ -205,7 +221,7 @@
             client: _FakeClient,
             owner: _FakeOwner,
         ) -> None:
-            self._run_task(client, owner)
+            self.run_task(client, owner)
             await curio.sleep(3.0)
             client.silent = True
             await curio.sleep(4.5)
@@ -216,11 +232,26 @@
 
         self.run_link(scenario)
 
-    def _run_task(self, client: _FakeClient, owner: _FakeOwner) -> None:
-        key = layout.TaskId('a' * 16, 0, 0, 0)
-        owner.runs = [(key, state_module._new_task())]
-        owner.runs[0][1].run = 1
-        client.running = [worker_client.RunningTask(key, 1, '', 10, None)]
+
+class TestClose(LinkTest):
+    """A connection is closed by the task that waits for it, or after it."""
+
+    def test_no_call_waits_when_the_client_is_closed(self) -> None:
+        # Guards against a process that ends by itself: the event loop fails
+        # when the descriptor of such a connection is used again.
+        async def scenario(
+            link: worker_link.WorkerLink,
+            client: _FakeClient,
+            owner: _FakeOwner,
+        ) -> None:
+            self.run_task(client, owner)
+            await link.wake()
+            await curio.sleep(0.1)
+            self.assertEqual(1, client.waiting)
+            await link.close()
+            self.assertEqual(0, client.waiting_at_close)
+
+        self.run_link(scenario)
 
 
 class TestStarts(LinkTest):
--- a/banyantrack/transport/rpc.py
+++ b/banyantrack/transport/rpc.py
@@ -338,7 +338,8 @@
         stream, self._stream = self._stream, None
         reader, self._reader = self._reader, None
         if reader is not None:
-            await reader.cancel(blocking=False)
+            # The event loop must not wait for a connection that is closed.
+            await reader.cancel()
         if stream is not None:
             await stream.close()
         await self._fail_pending()
