Run one work session a term, through pauses of the leader

Callers saw tasks run twice, and workers above their capacity, after a leader had stood still for 0.43 to 0.46 s beside a start without an answer.

Cause: a leader's lease lapses after 0.45 s, its leadership after 0.5 s. In between the work session ended and another one was opened in the same term. Its links knew of no unanswered starts, and a link takes a run that is missing from a worker's first list for never begun, since its first renewal fences starts of lower fencing tokens. The token is the term, so it fenced nothing. A hand-over of the leadership that fails ended the session in the same way.

Change: the session lasts as long as the member leads in its term and only stops sending while the lease has lapsed. Should a session end while the member still leads, the member steps down, so that no two sessions share a token. A start that a pause has kept from being sent no longer counts as a refusal by its worker.

--- a/banyantrack/daemons/work_leadership.py
+++ b/banyantrack/daemons/work_leadership.py
@@ -69,12 +69,15 @@
         )
 
     async def run(self) -> None:
-        """Runs sessions until cancelled."""
+        """Runs one session in each term that this member leads.
+
+        It runs until cancelled.
+        """
         while True:
             if not (self._replica.ready and self._replica.lease_holds()):
                 await self._replica.wait_next_applied(LEADER_CHECK_INTERVAL_S)
                 continue
-            self._session = work_session.WorkSession(
+            self._session = session = work_session.WorkSession(
                 self._replica,
                 self._state,
                 self._platform_client,
@@ -83,6 +86,9 @@
                 self._metrics,
             )
             try:
-                await self._session.run()
+                await session.run()
             finally:
                 self._session = None
+            # A later session must not share the fencing token of this one.
+            if self._replica.term == session.token:
+                await self._replica.step_down()
--- a/banyantrack/daemons/work_session.py
+++ b/banyantrack/daemons/work_session.py
@@ -3,6 +3,12 @@
 A session plans placement rounds, sends orders to workers and follows their
 runs. Its own state ends with the leadership: the next leader starts from the
 replicated state and from what workers answer.
+
+Invariant: all orders that carry a fencing token come from one session, which
+lasts as long as the member leads in that term. A worker refuses orders with a
+lower token than it has seen, so the first list of runs that a worker answers
+shows each run that an earlier session may have started. It does not settle
+unanswered starts of the same token; only their session knows of these.
 """
 
 from __future__ import annotations
@@ -47,6 +53,8 @@
 # Longest wait between rounds without a change. It also bounds how late a
 # deadline that no change announces is noticed.
 IDLE_ROUND_INTERVAL_S = 0.1
+# Interval between checks whether a lease that has lapsed holds again.
+LEASE_CHECK_INTERVAL_S = 0.02
 # Pause after each round, so that changes which arrive together are planned in
 # one round.
 ROUND_PAUSE_S = 0.01
@@ -189,14 +197,25 @@
         return self._term
 
     def leads(self) -> bool:
-        """Whether no other leader can have been elected."""
+        """Whether no other leader can have been elected.
+
+        It may be false for a while and true again, when the lease lapses or a
+        hand-over of the leadership fails.
+        """
         return (
-            not self._ended
+            self.lasts()
             and self._replica.ready
-            and self._replica.term == self._term
             and self._replica.lease_holds()
         )
 
+    def lasts(self) -> bool:
+        """Whether this session may send orders now or later."""
+        return (
+            not self._ended
+            and self._replica.is_leader
+            and self._replica.term == self._term
+        )
+
     async def record_ends(self, ends: list[ttypes.RunEnd]) -> bool:
         """Records ends of runs; returns whether they are committed."""
         before = {
@@ -351,7 +370,10 @@
         """Runs planning rounds until the leadership ends."""
         logs.event(_LOG, 'work_started', term=self._term)
         try:
-            while self.leads():
+            while self.lasts():
+                if not self.leads():
+                    await curio.sleep(LEASE_CHECK_INTERVAL_S)
+                    continue
                 self._round_requested = False
                 await self._follow_workers()
                 await self._round()
--- a/banyantrack/daemons/worker_link.py
+++ b/banyantrack/daemons/worker_link.py
@@ -641,6 +641,7 @@
             return
         # Further attempts request the same lease end until one is answered.
         lease_end_ms = self._next_lease_end_ms()
+        refused = False
         for _ in range(START_ATTEMPTS):
             if run in self._stopping or not self._owner.leads():
                 break
@@ -659,6 +660,7 @@
                 self._sending = None
                 self._unanswered = True
                 self._note_no_answer(error)
+                refused = not error.sent
                 if error.sent:
                     self._unanswered_starts.add(run)
                 logs.event(
@@ -679,7 +681,7 @@
             await self._handle_start_answer(run, order_reply)
             return
         if run not in self._unanswered_starts:
-            if self._responsive:
+            if self._responsive and refused:
                 # The worker's address refuses connections.
                 self._unhealthy_until_s = clock.steady_s() + UNHEALTHY_PERIOD_S
             await self._record_never_began(run, 'never sent')
--- a/banyantrack/replication/replica.py
+++ b/banyantrack/replication/replica.py
@@ -245,7 +245,7 @@
         )
 
     async def step_down(self) -> None:
-        """Steps down because a leader of a later term exists."""
+        """Steps down, so that a later term begins."""
         if self.is_leader:
             await self.become_follower(self.term, None)
 
--- /dev/null
+++ b/banyantrack/testing/work_simulation.py
@@ -0,0 +1,504 @@
+"""Work sessions, replication and executors in one process, in virtual time.
+
+Sessions are those of the product. They send orders to stand-ins of executors
+without a network. A group stands in for the replicas: it elects leaders, lets
+leases lapse and commits commands.
+"""
+
+from __future__ import annotations
+
+import collections
+import enum
+import json
+import random
+import types
+import typing
+
+import curio
+
+from banyantrack.core import clock
+from banyantrack.core import codec
+from banyantrack.core import metrics
+from banyantrack.core import signals
+from banyantrack.daemons import work_leadership
+from banyantrack.generated.settings import ttypes as settings
+from banyantrack.generated.workload import ttypes
+from banyantrack.platform import wire
+from banyantrack.platform import workers
+from banyantrack.replication import errors as replication_errors
+from banyantrack.testing import fake_executor
+from banyantrack.testing import virtual
+from banyantrack.testing import work_builders as builders
+from banyantrack.transport import http_client
+from banyantrack.workload import state as state_module
+from banyantrack.workload import worker_client
+
+if typing.TYPE_CHECKING:
+    import collections.abc
+
+    from banyantrack.generated.intent import ttypes as intent
+
+# Time of an order on its way, and of its answer.
+LINK_DELAY_S = 0.001
+COMMIT_DURATION_S = 0.004
+# Range of the time after which an order without an answer is carried out.
+LATE_S = (2.0, 12.0)
+# Time from the start of an executor until control has recorded it.
+REGISTRATION_DELAY_S = 0.1
+OPTIONS = settings.ControlPlatformSettings(
+    lease_ms=fake_executor.MAX_LEASE_MS,
+    stop_ms=400,
+    gang_ms=1500,
+    remote_factor=3.0,
+    upkeep_s=2.0,
+)
+
+
+class Fate(enum.Enum):
+    """What becomes of an order."""
+
+    ANSWERED = 'answered'
+    # Carried out seconds later, without an answer.
+    LATE = 'late'
+    # Carried out at once, but the answer is lost.
+    ANSWER_LOST = 'answer lost'
+    # No byte of it is sent.
+    REFUSED = 'refused'
+
+
+class Executor(fake_executor.FakeExecutor):
+    """An executor that is called without a network.
+
+    Args:
+        name: Its id.
+        address: Its address, a name only.
+        observer: Shared by all executors.
+        rng: Source of failures.
+        **options: Further arguments of the base class.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        address: str,
+        observer: fake_executor.Observer,
+        rng: random.Random,
+        **options: typing.Any,
+    ) -> None:
+        super().__init__(
+            name, address, 'line', (), observer, rng=rng, **options
+        )
+
+    @property
+    def incarnation(self) -> int:
+        """Its incarnation; 0 while it is down."""
+        return self._incarnation
+
+    @property
+    def up(self) -> bool:
+        """Whether its process runs."""
+        return bool(self._tasks)
+
+    @property
+    def record(self) -> ttypes.WorkerRecord:
+        """The record that its reports lead to."""
+        return builders.worker(
+            self.name,
+            incarnation=self._incarnation,
+            address=self.address,
+            cpu_milli=self._capacity['cpu'],
+            memory_mb=self._capacity['memMb'],
+            accelerators=self._capacity['gpu'],
+        )
+
+    async def open(self) -> None:
+        """Starts the loop that runs tasks."""
+        self._tasks.append(await curio.spawn(self._work_loop, daemon=True))
+
+    async def crash(self) -> None:
+        """Ends all tasks without a notice to control."""
+        for task in self._tasks:
+            await task.cancel()
+        self._tasks.clear()
+        self._incarnation = 0
+        for run in list(self._runs.values()):
+            self._end(run, 'crashed')
+
+    async def carry_out(
+        self, path: str, values: dict[str, typing.Any]
+    ) -> tuple[int, dict[str, typing.Any]]:
+        """Carries out an order; returns status and body of the answer."""
+        incarnation = self._incarnation
+        status, body = await self._carry_out(path, values)
+        body['clockMs'] = self.clock_ms
+        body['born'] = incarnation
+        return status, body
+
+
+class _Client(workers.HttpWorkerClient):
+    """Client of an executor that calls it without a network.
+
+    Args:
+        worker: The worker.
+        member: Member that sends the orders.
+        group: The group of the member.
+    """
+
+    def __init__(
+        self, worker: ttypes.WorkerRecord, member: Member, group: Group
+    ) -> None:
+        super().__init__(worker)
+        self._member = member
+        self._group = group
+
+    async def _call(
+        self,
+        client: http_client.HttpClient,
+        path: str,
+        values: dict[str, object],
+        *,
+        timeout_s: float,
+    ) -> http_client.Answer:
+        # The order as it is read at the other end.
+        body = json.loads(wire.encode(values))
+        await self._member.wait_awake()
+        await curio.sleep(LINK_DELAY_S)
+        executor = self._group.executor_at(self._worker.address)
+        if executor is None or not executor.up:
+            raise worker_client.NoAnswerError(
+                'refused', sent=False, silence=worker_client.Silence.REFUSED
+            )
+        fate = self._group.fate(executor, path)
+        if fate is Fate.REFUSED:
+            raise worker_client.NoAnswerError(
+                'refused', sent=False, silence=worker_client.Silence.REFUSED
+            )
+        if executor.name != self._worker.worker_id:
+            return http_client.Answer(421, [], b'{}')
+        incarnation = executor.incarnation
+        answer: tuple[int, dict[str, typing.Any]] | None = None
+        if fate is Fate.LATE:
+            await self._group.spawn(
+                self._carry_out_late, executor, incarnation, path, body
+            )
+        else:
+            async with curio.ignore_after(timeout_s):
+                answer = await executor.carry_out(path, body)
+        if answer is None or fate is not Fate.ANSWERED:
+            await curio.sleep(timeout_s)
+            await self._member.wait_awake()
+            raise worker_client.NoAnswerError(
+                'no answer', silence=worker_client.Silence.TIMEOUT
+            )
+        await curio.sleep(LINK_DELAY_S)
+        await self._member.wait_awake()
+        if executor.incarnation != incarnation:
+            raise worker_client.NoAnswerError(
+                'closed', silence=worker_client.Silence.CLOSED
+            )
+        status, values = answer
+        return http_client.Answer(status, [], wire.encode(values))
+
+    async def _carry_out_late(
+        self,
+        executor: Executor,
+        incarnation: int,
+        path: str,
+        values: dict[str, typing.Any],
+    ) -> None:
+        await curio.sleep(self._group.rng.uniform(*LATE_S))
+        # An order that a process has not carried out ends with the process.
+        if executor.incarnation == incarnation:
+            await executor.carry_out(path, values)
+
+
+class _PlatformClient(worker_client.PlatformClient):
+    """Opens clients that call without a network; offers no services."""
+
+    def __init__(self, member: Member, group: Group) -> None:
+        self._member = member
+        self._group = group
+
+    def open(self, worker: ttypes.WorkerRecord) -> worker_client.WorkerClient:
+        return _Client(worker, self._member, self._group)
+
+    async def advise(self, *_: object, **__: object) -> None:
+        raise worker_client.NoAnswerError('no policy service')
+
+    async def begin_upkeep(self, *_: object, **__: object) -> typing.Any:
+        raise worker_client.NoAnswerError('no machines service')
+
+
+class Member:
+    """A control member as a work session sees it, in one term as leader.
+
+    Args:
+        name: Its name.
+        term: The term.
+
+    Attributes:
+        term: The term.
+        is_leader: Whether it has not learnt of a later term.
+        ready: False during a hand-over of the leadership.
+        lease: Whether its lease holds.
+        state: Its copy of the replicated state.
+    """
+
+    def __init__(
+        self, name: str, term: int, state: state_module.WorkState
+    ) -> None:
+        self.member = types.SimpleNamespace(name=name)
+        self.term = term
+        self.is_leader = True
+        self.ready = True
+        self.lease = True
+        self.state = state
+        self._awake = True
+        self._wake_signal = signals.Signal()
+
+    def lease_holds(self) -> bool:
+        """Whether no other leader can exist."""
+        return self.is_leader and self.lease
+
+    async def step_down(self) -> None:
+        """Ends the leadership."""
+        self.is_leader = False
+        self.ready = False
+
+    async def wait_next_applied(self, timeout_s: float) -> None:
+        """Waits; entries of other leaders are not simulated."""
+        await curio.sleep(timeout_s)
+
+    async def freeze(self, duration_s: float) -> None:
+        """Stands still: no order is sent and no answer is read."""
+        self._awake = False
+        await curio.sleep(duration_s)
+        self._awake = True
+        await self._wake_signal.notify()
+
+    async def wait_awake(self) -> None:
+        """Waits until it does not stand still."""
+        while not self._awake:
+            await self._wake_signal.wait()
+
+
+class Group:
+    """Control members that lead one after the other, and executors.
+
+    Args:
+        seed: Seed of all random choices.
+        executors: Number of executors.
+        capacity: Capacity of each executor; see `FakeExecutor`.
+
+    Attributes:
+        rng: Source of random choices.
+        observer: Records runs and violations of guarantees.
+        executors: The executors.
+        leader: The member that leads.
+        fate: Decides what becomes of an order, from the executor and path.
+    """
+
+    def __init__(
+        self,
+        *,
+        seed: int = 1,
+        executors: int = 2,
+        capacity: dict[str, int] | None = None,
+    ) -> None:
+        self.rng = random.Random(seed)
+        self.observer = fake_executor.Observer()
+        self.executors = [
+            Executor(
+                f'i-{number + 1}',
+                f'host-{number + 1}:1',
+                self.observer,
+                self.rng,
+                capacity=capacity,
+            )
+            for number in range(executors)
+        ]
+        self.leader: Member | None = None
+        self.fate: collections.abc.Callable[[Executor, str], Fate] = (
+            lambda *_: Fate.ANSWERED
+        )
+        self._tasks: list[curio.Task] = []
+        self._log_signal = signals.Signal()
+
+    @property
+    def state(self) -> state_module.WorkState:
+        """The replicated state, as the leader has it."""
+        return self.leader.state
+
+    def executor_at(self, address: str) -> Executor | None:
+        """Returns the executor at an address."""
+        for executor in self.executors:
+            if executor.address == address:
+                return executor
+        return None
+
+    async def spawn(
+        self, function: collections.abc.Callable[..., typing.Any], *args
+    ) -> None:
+        """Starts a task that ends with the group."""
+        self._tasks.append(await curio.spawn(function, *args, daemon=True))
+
+    async def open(self) -> None:
+        """Starts all executors, records them and elects the first leader."""
+        for executor in self.executors:
+            await executor.open()
+        await self.elect(
+            builders.state(*(executor.record for executor in self.executors))
+        )
+
+    async def close(self) -> None:
+        """Ends all tasks."""
+        for executor in self.executors:
+            await executor.crash()
+        for task in self._tasks:
+            await task.cancel()
+
+    async def elect(self, state: state_module.WorkState | None = None) -> None:
+        """Elects another leader, which starts from a snapshot.
+
+        Args:
+            state: The replicated state; None for that of the last leader.
+        """
+        term = 1
+        if state is None:
+            data = codec.encode(self.state.snapshot())
+            state = state_module.WorkState()
+            state.restore(codec.decode(ttypes.WorkSnapshot, data))
+            term = self.leader.term + 1
+            await self.leader.step_down()
+        member = self.leader = Member(f'c{term}', term, state)
+
+        async def propose(command: intent.Command) -> typing.Any:
+            return await self._propose(member, command.work)
+
+        leadership = work_leadership.WorkLeadership(
+            member,
+            state,
+            _PlatformClient(member, self),
+            OPTIONS,
+            propose,
+            metrics.Metrics(),
+        )
+        await self.spawn(leadership.run)
+
+    async def _propose(
+        self, member: Member, command: ttypes.WorkCommand
+    ) -> typing.Any:
+        await member.wait_awake()
+        if not member.ready:
+            raise replication_errors.NotLeaderError('', '')
+        await curio.sleep(COMMIT_DURATION_S)
+        if member is not self.leader:
+            raise replication_errors.UnknownOutcomeError('deposed')
+        result = member.state.apply(command, clock.now_ms())
+        await member.wait_awake()
+        return result
+
+    async def lapse(self, duration_s: float) -> None:
+        """Lets the leader's lease lapse within its term.
+
+        Args:
+            duration_s: Time until the lease holds again.
+        """
+        member = self.leader
+        member.lease = False
+        await curio.sleep(duration_s)
+        member.lease = True
+
+    async def fail_hand_over(self, duration_s: float) -> None:
+        """Lets a hand-over of the leadership fail: the leader leads on.
+
+        Args:
+            duration_s: Time until the leader gives up the hand-over.
+        """
+        member = self.leader
+        member.ready = False
+        await curio.sleep(duration_s)
+        member.ready = member.is_leader
+
+    async def restart(self, executor: Executor, down_s: float) -> None:
+        """Crashes an executor, which starts again under its id.
+
+        Args:
+            executor: The executor.
+            down_s: Time until it starts again.
+        """
+        await executor.crash()
+        await curio.sleep(down_s)
+        executor._reset()
+        await executor.open()
+        await curio.sleep(REGISTRATION_DELAY_S)
+        self.state.apply(
+            ttypes.WorkCommand(workers=[executor.record]), clock.now_ms()
+        )
+
+    def submit(
+        self,
+        job_id: str,
+        *,
+        count: int = 1,
+        accelerators: int = 1,
+        work_ms: int = 1000,
+        queue: str = 'usual',
+        **values: typing.Any,
+    ) -> None:
+        """Accepts a job of equal tasks.
+
+        Args:
+            job_id: Id of the job.
+            count: Number of tasks.
+            accelerators: Accelerators of a task.
+            work_ms: Run time of a task.
+            queue: Name of the queue.
+            **values: Further fields of the step.
+        """
+        step = builders.step(
+            count=count,
+            accelerators=accelerators,
+            estimated_ms=work_ms,
+            cpu_milli=0,
+            memory_mb=0,
+            **values,
+        )
+        job = builders.job(job_id, step)
+        job.spec = json.dumps({'ms': work_ms, 'need': {'gpu': accelerators}})
+        answer = builders.submit(
+            self.state, job, name=queue, now_ms=clock.now_ms()
+        )
+        if answer.verdict != ttypes.JobVerdict.DONE:
+            raise ValueError(answer.detail)
+
+    def job_states(self) -> collections.Counter[str]:
+        """Returns the number of jobs in each state."""
+        return collections.Counter(
+            ttypes.JobState._VALUES_TO_NAMES[record.state].lower()
+            for record in self.state.jobs.values()
+        )
+
+
+def run(
+    scenario: collections.abc.Callable[
+        [Group], collections.abc.Awaitable[None]
+    ],
+    **options: typing.Any,
+) -> None:
+    """Runs a scenario with a group in virtual time.
+
+    Args:
+        scenario: Receives the group, which has a leader.
+        **options: Arguments of the group.
+    """
+
+    async def main() -> None:
+        group = Group(**options)
+        await group.open()
+        try:
+            await scenario(group)
+        finally:
+            await group.close()
+
+    virtual.run(main)
--- /dev/null
+++ b/banyantrack/tests/test_work_leadership.py
@@ -0,0 +1,56 @@
+"""Tests of work sessions across lapses of the lease and changes of leader."""
+
+from __future__ import annotations
+
+import curio
+import testtools
+
+from banyantrack.testing import work_simulation as simulation
+
+START = '/v1/run-start'
+Fate = simulation.Fate
+
+
+class TestPauses(testtools.TestCase):
+    """A start without an answer outlives pauses of the leader."""
+
+    def check_pause(self, name: str, duration_s: float) -> None:
+        """Lets a leader pause after a start whose answer is missing.
+
+        Args:
+            name: Method of the group that makes the pause.
+            duration_s: Its duration.
+        """
+
+        async def scenario(group: simulation.Group) -> None:
+            fates = [Fate.LATE]
+
+            def fate(_: simulation.Executor, path: str) -> Fate:
+                if path == START and fates:
+                    return fates.pop()
+                return Fate.ANSWERED
+
+            group.fate = fate
+            await curio.sleep(0.5)
+            group.submit('a', accelerators=8, work_ms=15_000)
+            await curio.sleep(0.1)
+            self.assertEqual([], fates)
+            await getattr(group, name)(duration_s)
+            group.submit('b', accelerators=8, queue='urgent')
+            await curio.sleep(50)
+            self.assertEqual([], group.observer.broken)
+            self.assertEqual({'completed': 2}, group.job_states())
+
+        simulation.run(scenario, executors=3)
+
+    def test_lease_that_lapses(self) -> None:
+        # Guards against a task that runs twice: a session that is opened
+        # anew in the same term takes its unanswered starts for never begun,
+        # since its first list of runs fences only starts of earlier terms.
+        for duration_s in (0.01, 0.05, 0.3, 2.0):
+            self.check_pause('lapse', duration_s)
+
+    def test_hand_over_that_fails(self) -> None:
+        # The same, where the leader was not ready during a hand-over.
+        for duration_s in (0.05, 0.5, 2.0):
+            self.check_pause('fail_hand_over', duration_s)
--- a/banyantrack/tests/test_work_session.py
+++ b/banyantrack/tests/test_work_session.py
@@ -25,6 +25,7 @@
     """
 
     ready = True
+    is_leader = True
 
     def __init__(self) -> None:
         self.term = 3
