--- a/banyantrack/testing/fake_executor.py
+++ b/banyantrack/testing/fake_executor.py
@@ -263,6 +263,9 @@
         self._highest_run: dict[str, int] = {}
         self._ends: list[list[typing.Any]] = []
         self._end_count = 0
+        # Ends before this number were not acknowledged before a lease lapsed.
+        # Their tasks may run again, for good.
+        self._first_binding_end = 1
         self._server: http_server.HttpServer | None = None
         self._tasks: list[curio.Task] = []
 
@@ -492,7 +495,10 @@
     async def _hold(self, body: dict) -> tuple[int, dict[str, typing.Any]]:
         acknowledged = body.get('lastSeen', 0)
         for number, task, run, how, _ in self._ends:
-            if number <= acknowledged and how == 'done':
+            if (
+                self._first_binding_end <= number <= acknowledged
+                and how == 'done'
+            ):
                 self._observer.acknowledged(task, run)
         self._ends = [end for end in self._ends if end[0] > acknowledged]
         deadline_s = time.monotonic() + body.get('waitMs', 0) / 1000
@@ -517,6 +523,8 @@
         while True:
             await curio.sleep(TICK_INTERVAL_S)
             now_s = time.monotonic()
+            if self._lease_end_ms <= self.clock_ms:
+                self._first_binding_end = self._end_count + 1
             for run in list(self._runs.values()):
                 how = self._advance(run, now_s, (now_s - last_s) * 1000)
                 if how is not None:
