Stop repeating a start once a list has shown its run

Customers lost work, and workers got runs above their capacity, where the answer to a start was lost.

Cause: a start without an answer was sent three times, whatever the lists of runs between the attempts showed. A run that was listed was stopped after the third attempt. A later attempt could reach the next incarnation of the worker; the link took the run for confirmed by the earlier one, so nothing held its task back, and the run used capacity that the planner did not count.

Change: attempts end when a list has shown the run or its end, or when the start is not wanted any more. An attempt may have reached the next incarnation until this one has answered it or a later call. A worker with runs that are not recorded there gets no starts until they have stopped.

--- a/banyantrack/daemons/worker_link.py
+++ b/banyantrack/daemons/worker_link.py
@@ -169,6 +169,11 @@
         self._unanswered_starts: set[layout.RunId] = set()
         # Run whose start is on its way.
         self._sending: layout.RunId | None = None
+        # Steady time of the last attempt to start the run, while it is not
+        # certain which incarnation has received it.
+        self._attempts_s: dict[layout.RunId, float] = {}
+        # Runs that the worker lists, though none is recorded there.
+        self._unrecorded: set[layout.RunId] = set()
         # Steady time at which the run was confirmed as started.
         self._confirmed: dict[layout.RunId, float] = {}
         # Confirmed runs that this leader has not started.
@@ -196,6 +201,8 @@
             self._reconciled
             and self._responsive
             and not self._unanswered
+            # They use the worker's capacity until they have stopped.
+            and not self._unrecorded
             and self._clock_ms is not None
             and clock.steady_s() >= self._unhealthy_until_s
         )
@@ -226,9 +233,11 @@
     def may_have_reached_next(self, key: layout.TaskId, run: int) -> bool:
         """Whether the next incarnation may have carried out a run's start.
 
-        The next incarnation has the same address and worker id.
+        The next incarnation has the same address and worker id. It may have
+        received an order unless this incarnation has answered the order or a
+        later one.
         """
-        return (key, run) in self._sent and (key, run) not in self._confirmed
+        return (key, run) in self._attempts_s
 
     def is_confirmed(self, key: layout.TaskId, run: int) -> bool:
         """Whether the worker has answered that a run started."""
@@ -474,6 +483,9 @@
         self, lease_reply: worker_client.LeaseReply, sent_s: float
     ) -> None:
         first = not self._reconciled
+        for run, attempt_s in list(self._attempts_s.items()):
+            if attempt_s < sent_s:
+                del self._attempts_s[run]
         for running in lease_reply.running:
             if running.checkpoint:
                 self._checkpoints[running.key] = running.checkpoint
@@ -494,6 +506,7 @@
         for running in lease_reply.running:
             run = (running.key, running.run)
             if run not in known and run not in self._stopping:
+                self._unrecorded.add(layout.RunId(*run))
                 logs.event(
                     _LOG,
                     'unknown_run',
@@ -526,6 +539,8 @@
         self._sent.discard(run)
         self._stop_answered_s.pop(run, None)
         self._unanswered_starts.discard(run)
+        self._attempts_s.pop(run, None)
+        self._unrecorded.discard(run)
         self._confirmed.pop(run, None)
         self._inherited.discard(run)
 
@@ -643,11 +658,17 @@
         lease_end_ms = self._next_lease_end_ms()
         refused = False
         for _ in range(START_ATTEMPTS):
-            if run in self._stopping or not self._owner.leads():
+            if (
+                run in self._stopping
+                or run in self._confirmed
+                or not self._owner.leads()
+                or not self._owner.is_current(start)
+            ):
                 break
             if not self._responsive and run not in self._unanswered_starts:
                 break
             self._sending = run
+            self._attempts_s[run] = clock.steady_s()
             try:
                 with self._pending_lease(lease_end_ms):
                     order_reply = await self._client.start(
@@ -663,6 +684,8 @@
                 refused = not error.sent
                 if error.sent:
                     self._unanswered_starts.add(run)
+                elif run not in self._unanswered_starts:
+                    self._attempts_s.pop(run, None)
                 logs.event(
                     _LOG,
                     'start_unanswered',
@@ -680,6 +703,9 @@
             self._sending = None
             await self._handle_start_answer(run, order_reply)
             return
+        if run in self._confirmed or run not in self._sent:
+            # A list of the worker's runs has shown the run or its end.
+            return
         if run not in self._unanswered_starts:
             if self._responsive and refused:
                 # The worker's address refuses connections.
@@ -702,6 +728,8 @@
             run=run[1],
             reason=order_reply.reason.value,
         )
+        if order_reply.reason not in _ANSWERS_OF_OTHERS:
+            self._attempts_s.pop(run, None)
         if order_reply.reason is OrderOutcome.DONE:
             self._unanswered_starts.discard(run)
             self._confirmed[run] = clock.steady_s()
--- a/banyantrack/tests/test_work_leadership.py
+++ b/banyantrack/tests/test_work_leadership.py
@@ -5,6 +5,7 @@
 import curio
 import testtools
 
+from banyantrack.platform import workers
 from banyantrack.testing import work_simulation as simulation
 
 START = '/v1/run-start'
@@ -54,3 +55,43 @@
         # The same, where the leader was not ready during a hand-over.
         for duration_s in (0.05, 0.5, 2.0):
             self.check_pause('fail_hand_over', duration_s)
+
+
+class TestAttempts(testtools.TestCase):
+    """A start whose answer is lost is repeated only while that helps."""
+
+    def test_run_that_the_worker_lists(self) -> None:
+        # Guards against work that is thrown away: after three attempts
+        # without an answer the run was stopped, though it had been listed.
+        async def scenario(group: simulation.Group) -> None:
+            group.fate = lambda _, path: (
+                Fate.ANSWER_LOST if path == START else Fate.ANSWERED
+            )
+            group.submit('a', work_ms=5000)
+            await curio.sleep(10)
+            self.assertEqual([('a.0.0.0', 1)], group.observer.starts)
+            self.assertEqual({'completed': 1}, group.job_states())
+
+        simulation.run(scenario)
+
+    def test_attempt_that_reaches_the_next_incarnation(self) -> None:
+        # Guards against a worker above its capacity: a listed run was started
+        # again on the worker's next incarnation, where it did not count.
+        async def scenario(group: simulation.Group) -> None:
+            (executor,) = group.executors
+            lost = [Fate.ANSWER_LOST]
+
+            def fate(_: simulation.Executor, path: str) -> Fate:
+                return lost.pop() if lost and path == START else Fate.ANSWERED
+
+            group.fate = fate
+            for job in 'abc':
+                group.submit(job, accelerators=8, work_ms=5000)
+            # The list after the timeout of the start has shown the run.
+            await curio.sleep(workers.ORDER_TIMEOUT_S + 0.05)
+            await group.restart(executor, 0.2)
+            await curio.sleep(30)
+            self.assertEqual([], group.observer.broken)
+            self.assertEqual({'completed': 3}, group.job_states())
+
+        simulation.run(scenario, executors=1)
--- a/banyantrack/tests/test_worker_link.py
+++ b/banyantrack/tests/test_worker_link.py
@@ -277,6 +277,28 @@
         self.run_link(scenario)
 
 
+class TestUnrecordedRuns(LinkTest):
+    """A run that is not recorded uses capacity until it has stopped."""
+
+    def test_worker_is_unusable_until_the_run_has_stopped(self) -> None:
+        # Guards against a worker above its capacity: such a run takes no part
+        # in the planner's sums.
+        async def scenario(
+            link: worker_link.WorkerLink, client: _FakeClient, _: _FakeOwner
+        ) -> None:
+            key = layout.TaskId('a' * 16, 0, 0, 0)
+            client.running = [worker_client.RunningTask(key, 1, '', 10, None)]
+            # An idle worker has listed its runs within this time.
+            hold_s = worker_link.HOLD_WAIT_MS / 1000
+            await curio.sleep(worker_link.IDLE_HOLD_INTERVAL_S + hold_s + 0.1)
+            self.assertFalse(link.usable)
+            client.running = []
+            await curio.sleep(hold_s + 0.5)
+            self.assertTrue(link.usable)
+
+        self.run_link(scenario)
+
+
 class TestChecks(LinkTest):
     """A silent worker is found out before a gang waits for it."""
 
