Ask a worker that is said to have left whether it has ended

Callers saw a task run twice after an executor had been restarted: a control member that had stood still passed on the DELETE of the executor's earlier life. The new life got no more work.

Cause: a DELETE names no incarnation; the leader took it for the end of whichever incarnation was recorded, and recorded its runs as lost at once.

Change: a notice without an incarnation starts a watch of the worker's address. The incarnation is recorded as left if another one answers there, or if it had announced its end and connections are refused. One that answers for two seconds after the last notice goes on and gets work again. Meanwhile it gets no new runs.

--- a/banyantrack/daemons/work_api.py
+++ b/banyantrack/daemons/work_api.py
@@ -288,11 +288,11 @@
         )
 
     async def leave(self, worker_id: str, incarnation: int) -> None:
-        """Records that a worker has ended, at the leader.
+        """Passes on to the leader that a worker ends.
 
         Args:
             worker_id: The worker.
-            incarnation: Its incarnation; 0 for whichever is recorded.
+            incarnation: Its incarnation; 0 if it is not named.
 
         Raises:
             ReplicationError: If no leader accepted it.
@@ -333,16 +333,7 @@
 
     async def _apply_report(self, request: ttypes.ReportRequest) -> None:
         if request.report is None:
-            known = self._state.workers.get(request.leaving_worker_id)
-            if known is None or (
-                request.leaving_incarnation
-                and request.leaving_incarnation != known.incarnation
-            ):
-                return
-            gone = copy.copy(known)
-            gone.state = ttypes.WorkerState.GONE
-            gone.has_left = True
-            await self._record_worker(gone)
+            await self._apply_departure(request)
             return
         report = request.report
         worker = report.worker
@@ -371,6 +362,22 @@
         if session is not None:
             session.note_report(report)
 
+    async def _apply_departure(self, request: ttypes.ReportRequest) -> None:
+        known = self._state.workers.get(request.leaving_worker_id)
+        if known is None:
+            return
+        if not request.leaving_incarnation:
+            # It may be a late notice of an earlier incarnation.
+            session = self._leadership.session
+            if session is None:
+                raise self._replica.not_leader_error()
+            await session.note_departure(known)
+        elif request.leaving_incarnation == known.incarnation:
+            gone = copy.copy(known)
+            gone.state = ttypes.WorkerState.GONE
+            gone.has_left = True
+            await self._record_worker(gone)
+
     async def _record_worker(self, worker: ttypes.WorkerRecord) -> None:
         await self._leadership.propose(ttypes.WorkCommand(workers=[worker]))
         logs.event(
--- a/banyantrack/daemons/work_session.py
+++ b/banyantrack/daemons/work_session.py
@@ -25,6 +25,7 @@
 from banyantrack.core import logs
 from banyantrack.core import signals
 from banyantrack.daemons import advisor
+from banyantrack.daemons import departures
 from banyantrack.daemons import upkeep
 from banyantrack.daemons import worker_link
 from banyantrack.generated.workload import ttypes
@@ -169,6 +170,11 @@
         self._upkeep = upkeep.Upkeep(
             state, platform_client, self, upkeep_s=options.upkeep_s
         )
+        self._departures = departures.DepartureWatch(
+            platform_client,
+            self,
+            lambda worker_id: self._state.workers.get(worker_id),
+        )
         self._misrouted: dict[layout.RunId, _MisroutedRun] = {}
         # Losses of workers whose link is closed, by worker and incarnation.
         self._losses: dict[tuple[str, int], crashes.Loss] = {}
@@ -184,7 +190,8 @@
         self._last_waiting: dict[layout.GroupKey, planner_module.Waiting] = {}
         self._ended = False
 
-    # Interface of links and of upkeep: `worker_link.Owner`, `upkeep.Owner`.
+    # Interface of links, of upkeep and of departures: `worker_link.Owner`,
+    # `upkeep.Owner`, `departures.Owner`.
 
     @property
     def name(self) -> str:
@@ -269,8 +276,32 @@
             worker=worker.worker_id,
             address=worker.address,
         )
-        gone = copy.copy(known)
+        await self._record_gone(known)
+
+    async def on_left(self, worker: ttypes.WorkerRecord) -> None:
+        """Records a worker as gone, since it has left and has ended."""
+        logs.event(
+            _LOG,
+            'worker_left',
+            worker=worker.worker_id,
+            incarnation=worker.incarnation,
+        )
+        await self._record_gone(worker, has_left=True)
+
+    async def note_departure(self, worker: ttypes.WorkerRecord) -> None:
+        """Finds out whether a worker has ended, as a notice says.
+
+        Args:
+            worker: The current record of the worker.
+        """
+        await self._departures.note(worker)
+
+    async def _record_gone(
+        self, worker: ttypes.WorkerRecord, *, has_left: bool | None = None
+    ) -> None:
+        gone = copy.copy(worker)
         gone.state = ttypes.WorkerState.GONE
+        gone.has_left = has_left
         await self.propose(ttypes.WorkCommand(workers=[gone]))
         await self.request_round()
 
@@ -677,7 +708,11 @@
 
     def _is_usable(self, worker: ttypes.WorkerRecord) -> bool:
         link = self._links.get(worker.worker_id)
-        return link is not None and link.usable
+        return (
+            link is not None
+            and link.usable
+            and not self._departures.is_watched(worker)
+        )
 
     def _answered_recently(self, worker: ttypes.WorkerRecord) -> bool:
         link = self._links.get(worker.worker_id)
--- a/banyantrack/testing/work_simulation.py
+++ b/banyantrack/testing/work_simulation.py
@@ -20,6 +20,7 @@
 from banyantrack.core import codec
 from banyantrack.core import metrics
 from banyantrack.core import signals
+from banyantrack.daemons import work_api
 from banyantrack.daemons import work_leadership
 from banyantrack.generated.settings import ttypes as settings
 from banyantrack.generated.workload import ttypes
@@ -102,8 +103,13 @@
     @property
     def record(self) -> ttypes.WorkerRecord:
         """The record that its reports lead to."""
+        states = {
+            'ready': ttypes.WorkerState.READY,
+            'draining': ttypes.WorkerState.DRAINING,
+        }
         return builders.worker(
             self.name,
+            state=states[self.state],
             incarnation=self._incarnation,
             address=self.address,
             cpu_milli=self._capacity['cpu'],
@@ -115,6 +121,11 @@
         """Starts the loop that runs tasks."""
         self._tasks.append(await curio.spawn(self._work_loop, daemon=True))
 
+    async def open_again(self) -> None:
+        """Starts again after a crash, under the same id."""
+        self._reset()
+        await self.open()
+
     async def crash(self) -> None:
         """Ends all tasks without a notice to control."""
         for task in self._tasks:
@@ -321,8 +332,8 @@
         self.fate: collections.abc.Callable[[Executor, str], Fate] = (
             lambda *_: Fate.ANSWERED
         )
+        self._leadership: work_leadership.WorkLeadership | None = None
         self._tasks: list[curio.Task] = []
-        self._log_signal = signals.Signal()
 
     @property
     def state(self) -> state_module.WorkState:
@@ -375,7 +386,7 @@
         async def propose(command: intent.Command) -> typing.Any:
             return await self._propose(member, command.work)
 
-        leadership = work_leadership.WorkLeadership(
+        self._leadership = leadership = work_leadership.WorkLeadership(
             member,
             state,
             _PlatformClient(member, self),
@@ -429,12 +440,24 @@
         """
         await executor.crash()
         await curio.sleep(down_s)
-        executor._reset()
-        await executor.open()
+        await executor.open_again()
         await curio.sleep(REGISTRATION_DELAY_S)
-        self.state.apply(
-            ttypes.WorkCommand(workers=[executor.record]), clock.now_ms()
+        self.record(executor.record)
+
+    def record(self, worker: ttypes.WorkerRecord) -> None:
+        """Records a worker, as after its report."""
+        self.state.apply(ttypes.WorkCommand(workers=[worker]), clock.now_ms())
+
+    async def notify_departure(self, executor: Executor) -> None:
+        """Passes on a notice that an executor leaves; it may be a late one.
+
+        Args:
+            executor: The executor.
+        """
+        api = work_api.WorkApi(
+            self.leader, self.state, self._leadership, pool=None
         )
+        await api.leave(executor.name, 0)
 
     def submit(
         self,
@@ -480,12 +503,10 @@
         )
 
 
-def run(
-    scenario: collections.abc.Callable[
-        [Group], collections.abc.Awaitable[None]
-    ],
-    **options: typing.Any,
-) -> None:
+Scenario = typing.Callable[[Group], 'collections.abc.Awaitable[None]']
+
+
+def run(scenario: Scenario, **options: typing.Any) -> None:
     """Runs a scenario with a group in virtual time.
 
     Args:
