Take a list of 500 ends as incomplete

Callers saw tasks run again after they were done: 200 of a job of 700 small tasks on one executor, after control had been down for two seconds.

Cause: an executor lists 500 ends at a time. The leader took a run that the list lacked for never begun. The same held for runs that the leader had seen alive: beyond the 500th end they counted as never begun, too.

Change: a list with 500 ends is incomplete. It settles only the runs that it shows; the next one, once these are acknowledged, shows more. Until a list was complete, a link is not reconciled and its worker gets no starts.

--- a/banyantrack/daemons/worker_link.py
+++ b/banyantrack/daemons/worker_link.py
@@ -120,8 +120,11 @@
     """Link to one incarnation of a worker, during one leadership term.
 
     A hold is a call that renews the worker's lease and returns its running
-    and ended runs. The first hold of a link reconciles the recorded runs with
-    those that the worker lists.
+    and ended runs. The first complete list of a link reconciles the recorded
+    runs with those that the worker lists.
+
+    Invariant: a run that a list lacks has ended or will never begin only if
+    the list is complete. A worker lists a limited number of ends at a time.
 
     Args:
         record: The worker.
@@ -501,7 +504,9 @@
                 if run not in self._confirmed and run not in self._sent:
                     self._inherited.add(run)
                 self._confirmed.setdefault(run, sent_s)
-            elif self._is_permanently_absent(run, sent_s, first):
+            elif lease_reply.complete and self._is_permanently_absent(
+                run, sent_s, first
+            ):
                 ends.append(self._make_end(key, task.run, End.NEVER))
         for running in lease_reply.running:
             run = (running.key, running.run)
@@ -530,7 +535,8 @@
             settled = stop_answered_s is not None and stop_answered_s < sent_s
             if settled and run not in known and run not in listed:
                 self._forget_run(run)
-        self._reconciled = True
+        if lease_reply.complete:
+            self._reconciled = True
         if ends or first:
             await self._owner.request_round()
 
@@ -556,7 +562,7 @@
         Args:
             run: The run.
             sent_s: Steady time at which the list was requested.
-            first: Whether it is the first list that this leader received.
+            first: Whether no complete list was received before.
         """
         if first:
             return run not in self._unanswered_starts
--- a/banyantrack/platform/workers.py
+++ b/banyantrack/platform/workers.py
@@ -20,6 +20,8 @@
 # as silent until it answers something.
 CHECK_TIMEOUT_S = 0.2
 MACHINE_TIMEOUT_S = 2.0
+# Most ends that an executor lists in one answer.
+ENDS_PER_LIST = 500
 OrderOutcome = worker_client.OrderOutcome
 # Outcomes by the reason in an answer with status 409.
 CONFLICT_OUTCOMES = {
@@ -164,6 +166,7 @@
             clock_ms,
             tuple(_running_tasks(body)),
             tuple(_ended_tasks(body)),
+            complete=len(body.rows('finished', 0)) < ENDS_PER_LIST,
         )
 
     async def check(
--- a/banyantrack/testing/fake_executor.py
+++ b/banyantrack/testing/fake_executor.py
@@ -46,6 +46,8 @@
 # `STARTS_AFTER_CRASHES` times.
 CRASH_LIMIT = 3
 STARTS_AFTER_CRASHES = 2
+# Most ends that it lists in one answer.
+ENDS_PER_LIST = 500
 # Time after which starts must respect a capacity that has shrunk.
 SHRINK_GRACE_S = 1.5
 
@@ -514,7 +516,10 @@
             ]
             for run in self._runs.values()
         ]
-        return 200, {'running': running, 'finished': list(self._ends)}
+        return 200, {
+            'running': running,
+            'finished': self._ends[:ENDS_PER_LIST],
+        }
 
     # Work.
 
--- a/banyantrack/testing/work_simulation.py
+++ b/banyantrack/testing/work_simulation.py
@@ -483,9 +483,8 @@
             count=count,
             accelerators=accelerators,
             estimated_ms=work_ms,
-            cpu_milli=0,
             memory_mb=0,
-            **values,
+            **({'cpu_milli': 0} | values),
         )
         job = builders.job(job_id, step)
         job.spec = json.dumps({'ms': work_ms, 'need': {'gpu': accelerators}})
--- a/banyantrack/tests/test_work_leadership.py
+++ b/banyantrack/tests/test_work_leadership.py
@@ -95,3 +95,38 @@
             self.assertEqual({'completed': 3}, group.job_states())
 
         simulation.run(scenario, executors=1)
+
+
+class TestManyEnds(testtools.TestCase):
+    """An executor lists a limited number of ends at a time."""
+
+    def check_ends(self, *, new_leader: bool) -> None:
+        """Lets more tasks end in one silence than a list can hold."""
+
+        async def scenario(group: simulation.Group) -> None:
+            group.submit(
+                'a', count=700, accelerators=0, cpu_milli=50, work_ms=5000
+            )
+            while len(group.observer.starts) < 700:
+                await curio.sleep(0.1)
+            # Control is gone while they end, for less than a lease.
+            group.fate = lambda *_: Fate.REFUSED
+            await curio.sleep(5.0)
+            if new_leader:
+                await group.elect()
+            group.fate = lambda *_: Fate.ANSWERED
+            await curio.sleep(20)
+            self.assertEqual([], group.observer.broken)
+            self.assertEqual(700, len(group.observer.starts))
+            self.assertEqual({'completed': 1}, group.job_states())
+
+        simulation.run(scenario, executors=1)
+
+    def test_ends_at_a_new_leader(self) -> None:
+        # Guards against tasks that run again after they were done: a leader
+        # took runs beyond the limit of the list for never begun.
+        self.check_ends(new_leader=True)
+
+    def test_ends_at_the_same_leader(self) -> None:
+        # The same, for runs that this leader has seen alive before.
+        self.check_ends(new_leader=False)
--- a/banyantrack/workload/worker_client.py
+++ b/banyantrack/workload/worker_client.py
@@ -134,13 +134,16 @@
         clock_ms: Time on the worker's clock, in milliseconds; None if the
             answer has none.
         running: Runs that are alive.
-        ended: Ended runs that were not acknowledged yet.
+        ended: Ended runs that were not acknowledged yet, oldest first.
+        complete: Whether `ended` holds all of them; if not, the next list
+            holds more once these are acknowledged.
     """
 
     reason: OrderOutcome
     clock_ms: int | None
     running: tuple[RunningTask, ...] = ()
     ended: tuple[EndedTask, ...] = ()
+    complete: bool = True
 
 
 class WorkerClient(abc.ABC):
