--- a/banyantrack/core/logs.py
+++ b/banyantrack/core/logs.py
@@ -10,6 +10,7 @@
 import re
 import select
 import sys
+import traceback
 import typing
 
 from pythonjsonlogger import core
@@ -24,6 +25,8 @@
 MAX_LINES_PER_S = 200
 # Lines buffered while the reader is slow; further ones are dropped.
 MAX_BUFFER_BYTES = 256 * 1024
+# Most characters of an unexpected error in its line.
+ERROR_LENGTH = 300
 _UNQUOTED = re.compile(r'[A-Za-z0-9_./:+-]+')
 _PAIR = re.compile(
     r'(?P<key>[A-Za-z0-9_.-]+)=(?P<value>"(?:[^"\\]|\\.)*"|[^\s"=]+)(?: |$)'
@@ -151,6 +154,29 @@
         logger.log(level, name, extra={_VALUES_ATTRIBUTE: values})
 
 
+def unexpected_error(
+    logger: logging.Logger, name: str, error: Exception, /, **values: object
+) -> None:
+    """Writes one event about an error that no code handles.
+
+    Args:
+        logger: The module's logger.
+        name: Name of the event.
+        error: The error; its type and the place that raised it are written.
+        **values: Further pairs of the line.
+    """
+    frames = traceback.extract_tb(error.__traceback__)
+    place = f'{frames[-1].filename}:{frames[-1].lineno}' if frames else None
+    event(
+        logger,
+        name,
+        level=logging.ERROR,
+        error=repr(error)[:ERROR_LENGTH],
+        place=place,
+        **values,
+    )
+
+
 class LineLimiter:
     """Limits the lines of each event in each second.
 
--- a/banyantrack/daemons/control.py
+++ b/banyantrack/daemons/control.py
@@ -272,7 +272,7 @@
     # HTTP from workers and operators.
 
     async def _serve(self, request: http_server.Request) -> None:
-        path = urllib.parse.urlsplit(request.target).path
+        path = request.path
         try:
             if path == '/metrics' and request.method == 'GET':
                 await self._serve_metrics(request)
--- a/banyantrack/platform/config.py
+++ b/banyantrack/platform/config.py
@@ -5,7 +5,6 @@
 import typing
 
 from banyantrack.generated.workload import ttypes
-from banyantrack.platform import jobs
 from banyantrack.platform import wire
 
 if typing.TYPE_CHECKING:
@@ -46,13 +45,13 @@
         advice_fields = fields.object('advice')
         advice = ttypes.Advice(
             decision_ms=advice_fields.integer(
-                'decisionMs', high=jobs.MAX_INT32
+                'decisionMs', high=wire.MAX_INT32
             ),
             per_worker_ms=advice_fields.integer(
-                'perWorkerMs', high=jobs.MAX_INT32
+                'perWorkerMs', high=wire.MAX_INT32
             ),
             validity_ms=advice_fields.integer(
-                'validityMs', high=jobs.MAX_INT32
+                'validityMs', high=wire.MAX_INT32
             ),
         )
     return ttypes.Queue(
@@ -60,13 +59,13 @@
         host=fields.text('host', required=True),
         prefix=fields.text('pathPrefix', required=True),
         pool=fields.text('service', required=True),
-        priority=fields.integer('priority', high=jobs.MAX_INT32),
-        attempts=fields.integer('attempts', high=jobs.MAX_INT32) or 1,
+        priority=fields.integer('priority', high=wire.MAX_INT32),
+        attempts=fields.integer('attempts', high=wire.MAX_INT32) or 1,
         stretch=fields.number('stretch') or 1.0,
-        objective_ms=fields.integer('latencySloMs', high=jobs.MAX_INT32),
+        objective_ms=fields.integer('latencySloMs', high=wire.MAX_INT32),
         open_to_all=fields.flag('public'),
         advice=advice,
-        timeout_ms=fields.integer('timeoutMs', high=jobs.MAX_INT32),
+        timeout_ms=fields.integer('timeoutMs', high=wire.MAX_INT32),
     )
 
 
@@ -82,7 +81,7 @@
     guaranteed = 0
     if 'guaranteed' in fields:
         guaranteed = fields.object('guaranteed').integer(
-            'gpu', high=jobs.MAX_INT32
+            'gpu', high=wire.MAX_INT32
         )
     return ttypes.Account(
         name=fields.text('name', required=True),
@@ -99,8 +98,8 @@
     wave = ttypes.Wave(
         number=fields.integer('wave', required=True),
         machines=fields.texts('machines', required=True),
-        duration_s=fields.integer('durationS', high=jobs.MAX_INT32),
-        at_once=fields.integer('maximum', high=jobs.MAX_INT32) or 1,
+        duration_s=fields.integer('durationS', high=wire.MAX_INT32),
+        at_once=fields.integer('maximum', high=wire.MAX_INT32) or 1,
         accepted_ms=0,
         begun=[],
         begun_ms=[],
--- a/banyantrack/platform/control_server.py
+++ b/banyantrack/platform/control_server.py
@@ -4,10 +4,10 @@
 
 import logging
 import typing
-import urllib.parse
 
 from banyantrack.core import findings
 from banyantrack.core import logs
+from banyantrack.core import numbers
 from banyantrack.platform import config as config_module
 from banyantrack.platform import reports
 from banyantrack.platform import wire
@@ -62,7 +62,7 @@
         await self._server.close()
 
     async def _serve(self, request: http_server.Request) -> None:
-        path = urllib.parse.urlsplit(request.target).path
+        path = request.path
         try:
             await self._route(request, path)
         except http.BodyTooLargeError as error:
@@ -114,10 +114,8 @@
     ) -> None:
         body = await request.read_body(BODY_LIMIT_BYTES)
         if request.method == 'DELETE':
-            incarnation = request.header(b'born') or ''
-            await self._api.leave(
-                worker_id, int(incarnation) if incarnation.isdecimal() else 0
-            )
+            incarnation = numbers.parse_decimal(request.header(b'born') or '')
+            await self._api.leave(worker_id, incarnation or 0)
             await request.respond(200, wire.JSON_TYPE, b'{}')
             return
         if request.method != 'PUT':
@@ -152,10 +150,11 @@
         self, request: http_server.Request, number: str
     ) -> None:
         wave = None
-        if number.isdecimal():
-            wave = await self._api.read_wave(int(number))
+        wave_number = numbers.parse_decimal(number)
+        if wave_number is not None:
+            wave = await self._api.read_wave(wave_number)
         if wave is None:
-            await _respond_error(request, 404, f'no wave {number}')
+            await _respond_error(request, 404, 'no such wave')
             return
         body = wire.encode(config_module.wave_body(wave))
         await request.respond(200, wire.JSON_TYPE, body)
--- a/banyantrack/platform/entry_server.py
+++ b/banyantrack/platform/entry_server.py
@@ -4,10 +4,10 @@
 
 import logging
 import typing
-import urllib.parse
 
 from banyantrack.core import findings
 from banyantrack.core import logs
+from banyantrack.core import numbers
 from banyantrack.generated.workload import ttypes
 from banyantrack.platform import jobs
 from banyantrack.platform import wire
@@ -72,7 +72,7 @@
         await self._probe_server.close()
 
     async def _serve_probe(self, request: http_server.Request) -> None:
-        path = urllib.parse.urlsplit(request.target).path
+        path = request.path
         if path != READINESS_PATH:
             await _respond(request, 404, {'error': f'no resource for {path}'})
             return
@@ -86,7 +86,7 @@
             await _respond(request, 413, {'error': str(error)})
 
     async def _serve_call(self, request: http_server.Request) -> None:
-        path = urllib.parse.urlsplit(request.target).path
+        path = request.path
         body = await request.read_body(BODY_LIMIT_BYTES)
         job_operation = jobs.parse_operation(request.method, path)
         if job_operation is None:
@@ -141,7 +141,8 @@
 def _deadline_ms(request: http_server.Request) -> int:
     # The header holds the remaining time of the caller, not a time of day.
     text = request.header(b'deadline-ms') or ''
-    return int(text) if text.isdecimal() else DEFAULT_DEADLINE_MS
+    deadline_ms = numbers.parse_decimal(text)
+    return DEFAULT_DEADLINE_MS if deadline_ms is None else deadline_ms
 
 
 async def _respond(
--- a/banyantrack/platform/jobs.py
+++ b/banyantrack/platform/jobs.py
@@ -8,7 +8,6 @@
 from banyantrack.generated.workload import ttypes
 from banyantrack.platform import wire
 
-MAX_INT32 = 2**31 - 1
 # Scheme of the `Authorization` header that holds a customer's key.
 KEY_SCHEME = 'Token '
 STATE_NAMES = {
@@ -64,7 +63,7 @@
         job_id=path.rpartition('/')[2],
         spec=fields.text('spec'),
         steps=[_step(step) for step in fields.objects('steps')],
-        repeat_count=fields.integer('repeatCount', high=MAX_INT32),
+        repeat_count=fields.integer('repeatCount', high=wire.MAX_INT32),
         start_ms=fields.integer('startTimeMs'),
         interval_ms=fields.integer('intervalMs'),
     )
@@ -73,7 +72,7 @@
 
 def _step(fields: wire.Fields) -> ttypes.Step:
     def int32(name: str) -> int:
-        return fields.integer(name, high=MAX_INT32)
+        return fields.integer(name, high=wire.MAX_INT32)
 
     return ttypes.Step(
         count=int32('count') or 1,
--- a/banyantrack/platform/wire.py
+++ b/banyantrack/platform/wire.py
@@ -3,13 +3,17 @@
 from __future__ import annotations
 
 import json
+import math
 import typing
 
 from banyantrack.core import findings
 
 JSON_TYPE = [(b'content-type', b'application/json')]
-# Numbers are stored as signed 64-bit integers.
+# Numbers are stored as signed 64-bit integers, if not as 32-bit ones.
 MAX_INT64 = 2**63 - 1
+MAX_INT32 = 2**31 - 1
+# Largest valid number of characters of a text without a limit of its own.
+MAX_TEXT = 1_000_000
 
 
 class Fields:
@@ -40,10 +44,26 @@
     def __contains__(self, name: str) -> bool:
         return self._values.get(name) is not None
 
-    def text(self, name: str, *, required: bool = False) -> str:
-        """Returns a string; empty if the field is omitted."""
+    def text(
+        self, name: str, *, required: bool = False, limit: int = MAX_TEXT
+    ) -> str:
+        """Returns a string; empty if the field is omitted or not valid.
+
+        Args:
+            name: Name of the field.
+            required: Whether an omitted field adds a finding.
+            limit: Largest valid number of characters.
+        """
         value = self._get(name, str, required)
-        return '' if value is None else value
+        if value is None:
+            return ''
+        if not _is_encodable(value):
+            self._add(name, 'is not valid Unicode')
+            return ''
+        if len(value) > limit:
+            self._add(name, f'got {len(value)} characters; valid are {limit}')
+            return ''
+        return value
 
     def integer(
         self,
@@ -75,7 +95,7 @@
         if isinstance(value, int) and not isinstance(value, bool):
             if abs(value) <= MAX_INT64:
                 return float(value)
-        elif isinstance(value, float):
+        elif isinstance(value, float) and math.isfinite(value):
             return value
         elif value is None:
             return 0.0
@@ -89,16 +109,18 @@
     def texts(self, name: str, *, required: bool = False) -> list[str]:
         """Returns a list of strings; empty if the field is omitted."""
         values = self._get(name, list, required) or []
-        if not all(isinstance(value, str) for value in values):
+        if not all(
+            isinstance(value, str) and _is_encodable(value) for value in values
+        ):
             self._add(name, 'valid is a list of strings')
             return []
         return values
 
     def integers(self, name: str) -> list[int]:
-        """Returns a list of integers; empty if the field is omitted."""
+        """Returns a list of 32-bit integers; empty if it is omitted."""
         values = self._get(name, list, False) or []
-        if not all(type(value) is int for value in values):
-            self._add(name, 'valid is a list of integers')
+        if not all(is_integer(value, high=MAX_INT32) for value in values):
+            self._add(name, f'valid are integers of 0 to {MAX_INT32}')
             return []
         return values
 
@@ -159,5 +181,21 @@
     return json.dumps(values, separators=(',', ':')).encode()
 
 
+def is_integer(value: object, *, high: int = MAX_INT64) -> bool:
+    """Whether a decoded value is an integer from 0 to a highest one."""
+    # `bool` is a subclass of `int`.
+    return type(value) is int and 0 <= value <= high
+
+
+def is_text(value: object) -> bool:
+    """Whether a decoded value is a string that can be stored."""
+    return isinstance(value, str) and _is_encodable(value)
+
+
+def _is_encodable(text: str) -> bool:
+    """Whether a string is valid Unicode: JSON can hold half a character."""
+    return not any('\ud800' <= character <= '\udfff' for character in text)
+
+
 def _type_name(value: object) -> str:
     return 'nothing' if value is None else type(value).__name__
--- a/banyantrack/platform/workers.py
+++ b/banyantrack/platform/workers.py
@@ -5,6 +5,7 @@
 import typing
 
 from banyantrack.core import findings
+from banyantrack.core import numbers
 from banyantrack.generated.workload import ttypes
 from banyantrack.platform import wire
 from banyantrack.transport import http_client
@@ -59,10 +60,13 @@
     """Returns the task of a name; None if it is not a valid name."""
     if not isinstance(name, str):
         return None
-    parts = name.split('.')
-    if len(parts) != 4 or not all(p.isdecimal() for p in parts[1:]):
+    job_id, *places = name.split('.')
+    positions = [
+        numbers.parse_decimal(place, high=wire.MAX_INT32) for place in places
+    ]
+    if len(positions) != 3 or None in positions or not wire.is_text(job_id):
         return None
-    return layout.TaskId(parts[0], *map(int, parts[1:]))
+    return layout.TaskId(job_id, *positions)
 
 
 def _order_outcome(
@@ -249,16 +253,16 @@
 ) -> typing.Iterator[worker_client.RunningTask]:
     for row in body.rows('running', 4):
         key = parse_task_name(row[0])
-        if key is None or not _is_integer(row[1]):
+        if key is None or not _is_run(row[1]):
             continue
         # The fifth item is absent for a run that shares no resources.
         usage = row[4] if len(row) > 4 else None
         yield worker_client.RunningTask(
             key=key,
             run=row[1],
-            checkpoint=row[2] if isinstance(row[2], str) else '',
-            percent=row[3] if _is_integer(row[3]) else 0,
-            usage=usage if _is_integer(usage) else None,
+            checkpoint=row[2] if wire.is_text(row[2]) else '',
+            percent=row[3] if wire.is_integer(row[3], high=100) else 0,
+            usage=usage if wire.is_integer(usage) else None,
         )
 
 
@@ -270,20 +274,20 @@
         kind = END_KINDS.get(row[3]) if isinstance(row[3], str) else None
         if key is None or kind is None:
             continue
-        if not _is_integer(row[0]) or not _is_integer(row[2]):
+        if not wire.is_integer(row[0]) or not _is_run(row[2]):
             continue
         yield worker_client.EndedTask(
             number=row[0],
             key=key,
             run=row[2],
             kind=kind,
-            checkpoint=row[4] if isinstance(row[4], str) else '',
+            checkpoint=row[4] if wire.is_text(row[4]) else '',
         )
 
 
-def _is_integer(value: object) -> bool:
-    # `bool` is a subclass of `int`.
-    return type(value) is int
+def _is_run(value: object) -> bool:
+    """Whether a decoded value is the number of a run."""
+    return wire.is_integer(value, high=wire.MAX_INT32)
 
 
 async def _post(
@@ -353,7 +357,7 @@
         return {
             row[0]: row[1]
             for row in fields.rows('approved', 2)
-            if isinstance(row[0], str) and isinstance(row[1], str)
+            if wire.is_text(row[0]) and wire.is_text(row[1])
         }
 
     async def begin_upkeep(
--- a/banyantrack/tests/test_platform_wire.py
+++ b/banyantrack/tests/test_platform_wire.py
@@ -8,6 +8,7 @@
 from hypothesis import strategies
 import testtools
 
+from banyantrack.core import codec
 from banyantrack.core import findings
 from banyantrack.generated.workload import ttypes
 from banyantrack.platform import config
@@ -22,6 +23,7 @@
     strategies.none()
     | strategies.booleans()
     | strategies.integers()
+    | strategies.sampled_from([2**31, 2**63, -(2**31), 10**400, '\ud800'])
     | strategies.floats()
     | strategies.text(max_size=8),
     lambda inner: (
@@ -68,31 +70,39 @@
 
 
 class TestFuzz(testtools.TestCase):
-    """A body is either decoded or has findings; nothing is raised."""
+    """A body is either decoded or has findings; nothing is raised.
+
+    What is decoded can be passed on and stored.
+    """
+
+    def check(self, decoded: object, found: findings.Findings) -> None:
+        self.assertEqual(decoded is None, bool(found.found))
+        if decoded is not None:
+            codec.encode(decoded)
 
     @hypothesis.given(bodies(platform_system.DEFAULT_CONFIG))
     def test_configuration(self, body: bytes) -> None:
         found = findings.Findings()
         decoded = config.parse_config(body, found)
-        self.assertEqual(decoded is None, bool(found.found))
+        self.check(decoded, found)
 
     @hypothesis.given(bodies(JOB))
     def test_job(self, body: bytes) -> None:
         found = findings.Findings()
         decoded = jobs.parse_job('/usual/' + 'a' * 16, body, found)
-        self.assertEqual(decoded is None, bool(found.found))
+        self.check(decoded, found)
 
     @hypothesis.given(bodies(REPORT))
     def test_report(self, body: bytes) -> None:
         found = findings.Findings()
         decoded = reports.parse_report('i-1', body, found)
-        self.assertEqual(decoded is None, bool(found.found))
+        self.check(decoded, found)
 
     @hypothesis.given(bodies({'wave': 1, 'machines': ['m'], 'maximum': 1}))
     def test_wave(self, body: bytes) -> None:
         found = findings.Findings()
         decoded = config.parse_wave(body, found)
-        self.assertEqual(decoded is None, bool(found.found))
+        self.check(decoded, found)
 
     @hypothesis.given(VALUES, VALUES)
     def test_random_lists_of_runs(
@@ -106,16 +116,46 @@
         for ended in workers._ended_tasks(fields):
             self.assertIsInstance(ended.number, int)
 
+    def encode_runs(self, fields: wire.Fields) -> None:
+        """Encodes ends of all runs that a list holds."""
+        for run in workers._running_tasks(fields):
+            self.encode_end(run.key, run.run, run.checkpoint)
+        for ended in workers._ended_tasks(fields):
+            self.encode_end(ended.key, ended.run, ended.checkpoint)
+
+    def encode_end(
+        self, key: layout.TaskId, run: int, checkpoint: str
+    ) -> None:
+        end = ttypes.RunEnd(
+            task=layout.task_key(key),
+            run=run,
+            worker_id='w1',
+            incarnation=1,
+            kind=ttypes.EndKind.DONE,
+            checkpoint=checkpoint,
+        )
+        codec.encode(end)
+
     @hypothesis.given(VALUES)
     def test_rows_with_one_random_item(self, value: object) -> None:
+        self.check_rows(value)
+
+    def check_rows(self, value: object) -> None:
+        """Decodes rows in which one item has a value."""
         found = findings.Findings()
         row = ['a.0.0.0', 1, 'done', 'done', '']
         for index in range(len(row)):
             rows = [row[:index] + [value] + row[index + 1 :]]
             body = json.dumps({'running': rows, 'finished': rows})
             fields = wire.parse(body.encode(), found)
-            list(workers._running_tasks(fields))
-            list(workers._ended_tasks(fields))
+            self.encode_runs(fields)
+
+    def test_rows_with_one_odd_item(self) -> None:
+        # Guards against a link that ends when it records the end of a run.
+        for value in (10**30, -1, '\ud800', 1e300, True, '9' * 5000, None):
+            self.check_rows(value)
+        for place in ('9' * 5000, '-1', '1_0', '\u0663', str(2**31), ''):
+            self.check_rows(f'a.0.0.{place}')
 
 
 class TestDecoding(testtools.TestCase):
--- a/banyantrack/transport/addresses.py
+++ b/banyantrack/transport/addresses.py
@@ -5,6 +5,11 @@
 import socket
 import typing
 
+from banyantrack.core import numbers
+
+
+MAX_PORT = 2**16 - 1
+
 
 class Address(typing.NamedTuple):
     """Host and port, in the form that socket functions accept."""
@@ -25,7 +30,10 @@
         text: The address; an IPv6 address is written in brackets.
 
     Raises:
-        ValueError: If the port is missing or is not a number.
+        ValueError: If the port is missing or is not a valid number.
     """
-    host, _, port = text.rpartition(':')
-    return Address(host.strip('[]'), int(port))
+    host, _, port_text = text.rpartition(':')
+    port = numbers.parse_decimal(port_text, high=MAX_PORT)
+    if port is None:
+        raise ValueError(f'valid is IP:PORT with a port up to {MAX_PORT}')
+    return Address(host.strip('[]'), port)
--- a/banyantrack/transport/http_client.py
+++ b/banyantrack/transport/http_client.py
@@ -124,6 +124,7 @@
             ) from None
         except (
             OSError,
+            h11.LocalProtocolError,
             http.ProtocolError,
             http.ClosedError,
             http.BodyTooLargeError,
--- a/banyantrack/transport/http_server.py
+++ b/banyantrack/transport/http_server.py
@@ -5,10 +5,12 @@
 import collections.abc
 import logging
 import typing
+import urllib.parse
 
 from curio import io
 import h11
 
+from banyantrack.core import errors
 from banyantrack.core import logs
 from banyantrack.transport import http
 from banyantrack.transport import listener
@@ -75,6 +77,18 @@
         """Path and query."""
         return self._head.target.decode('latin-1')
 
+    @property
+    def path(self) -> str:
+        """Path of the target.
+
+        Raises:
+            ProtocolError: If the target cannot be read.
+        """
+        try:
+            return urllib.parse.urlsplit(self.target).path
+        except ValueError as error:
+            raise http.ProtocolError(f'target: {error}') from error
+
     @property
     def headers(self) -> http.Headers:
         """Headers; names are in lower case."""
@@ -246,6 +260,11 @@
                 await self._reject(connection, 408, str(error))
         except http.ClosedError as error:
             logs.event(_LOG, 'request_cut', level=logging.INFO, error=error)
+        except (OSError, errors.InvariantError):
+            raise
+        except Exception as error:
+            # The caller sees a broken connection: the outcome is unknown.
+            logs.unexpected_error(_LOG, 'request_failed', error)
         finally:
             self._active.discard(connection)
 
--- a/banyantrack/transport/listener.py
+++ b/banyantrack/transport/listener.py
@@ -122,13 +122,13 @@
                 )
                 await curio.sleep(ACCEPT_RETRY_DELAY_S)
                 continue
-            client.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             await curio.spawn(self._serve, client, daemon=True)
 
     async def _serve(self, client: io.Socket) -> None:
         task = await curio.current_task()
         self._tasks.add(task)
         try:
+            client.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             await self._handler(client)
         except OSError as error:
             logs.event(
--- a/banyantrack/transport/rpc.py
+++ b/banyantrack/transport/rpc.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import collections.abc
+import errno
 import itertools
 import logging
 import socket
@@ -416,7 +417,10 @@
     Raises:
         OSError: If the connection fails; `TimeoutError` after `timeout_s`.
     """
-    parsed = addresses.parse(address)
+    try:
+        parsed = addresses.parse(address)
+    except ValueError as error:
+        raise OSError(errno.EINVAL, f'{address!r}: {error}') from error
     raw = socket.socket(parsed.family, socket.SOCK_STREAM)
     raw.setblocking(False)
     raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
