Keep following a worker after an unexpected error; distrust reported clocks

Cause: a link's loops and the work session ended with any error that no code handles. The first left a worker without lease and orders, silently; the second ended the process, at one leader after the other. And a link took the clock in a worker's report for that worker's clock, whoever had written it: a clock that is ahead made its lease count as over, so that its runs were started again while they ran.

Change: a link runs its loops again with a growing delay and settles the order that failed; a session that fails is written down (`work_failed`) and its member steps down. Clocks come from a worker's own answers only.

Evidence: TestUnexpectedErrors and TestClocks fail without the change ("a.0.0.0 twice").

--- a/banyantrack/daemons/work_leadership.py
+++ b/banyantrack/daemons/work_leadership.py
@@ -2,9 +2,14 @@
 
 from __future__ import annotations
 
+import logging
 import typing
 
+import curio
+
 from banyantrack.core import clock
+from banyantrack.core import errors
+from banyantrack.core import logs
 from banyantrack.daemons import work_session
 from banyantrack.generated.intent import ttypes as intent
 from banyantrack.generated.workload import ttypes
@@ -20,6 +25,10 @@
 
 # Longest time between two checks whether this member leads.
 LEADER_CHECK_INTERVAL_S = 0.1
+# Delay after an unexpected error before this member steps down, which bounds
+# the rate of elections if other leaders meet the same error.
+FAILURE_DELAY_S = 0.2
+_LOG = logging.getLogger(__name__)
 
 
 class WorkLeadership:
@@ -87,6 +96,13 @@
             )
             try:
                 await session.run()
+            except errors.InvariantError:
+                raise
+            except Exception as error:
+                logs.unexpected_error(
+                    _LOG, 'work_failed', error, term=session.token
+                )
+                await curio.sleep(FAILURE_DELAY_S)
             finally:
                 self._session = None
             # A later session must not share the fencing token of this one.
--- a/banyantrack/daemons/work_session.py
+++ b/banyantrack/daemons/work_session.py
@@ -418,13 +418,11 @@
             logs.event(_LOG, 'work_ended', term=self._term)
 
     def note_report(self, report: ttypes.WorkerReport) -> None:
-        """Updates a worker's clock and, if it drains, its time to leave."""
-        link = self._links.get(report.worker.worker_id)
-        if (
-            link is not None
-            and link.record.incarnation == report.worker.incarnation
-        ):
-            link.note_clock(report.clock_ms)
+        """Notes when a worker that drains leaves.
+
+        The clock in a report is not used: reports may come from another
+        writer, and a clock that is ahead would end leases too soon here.
+        """
         if report.worker.state == ttypes.WorkerState.DRAINING:
             self._leaves_at_s[report.worker.worker_id] = (
                 clock.steady_s() + report.remaining_ms / 1000
--- a/banyantrack/daemons/worker_link.py
+++ b/banyantrack/daemons/worker_link.py
@@ -16,6 +16,7 @@
 import curio
 
 from banyantrack.core import clock
+from banyantrack.core import errors
 from banyantrack.core import logs
 from banyantrack.core import signals
 from banyantrack.generated.workload import ttypes
@@ -35,6 +36,8 @@
 # ends. The answer also carries the progress of runs.
 HOLD_WAIT_MS = 1000
 RETRY_DELAY_S = 0.15
+# Longest delay before a loop that an unexpected error has ended runs again.
+MAX_FAILURE_DELAY_S = 5.0
 # Interval at which the lease of an idle worker is renewed, so that a silent
 # worker is detected before runs are placed on it.
 IDLE_HOLD_INTERVAL_S = 2.0
@@ -146,6 +149,8 @@
         self._owner = owner
         self._lease_ms = lease_ms
         self._orders: collections.deque[_Order] = collections.deque()
+        # Order that is being sent.
+        self._current_order: _Order | None = None
         self._order_signal = signals.Signal()
         self._hold_signal = signals.Signal()
         # Number of the last end in the worker's list that is recorded.
@@ -276,7 +281,9 @@
     async def open(self) -> None:
         """Starts to renew the worker's lease and to send orders."""
         for work in (self._hold_loop, self._order_loop):
-            self._tasks.append(await curio.spawn(work, daemon=True))
+            self._tasks.append(
+                await curio.spawn(self._supervise, work, daemon=True)
+            )
 
     async def close(self) -> None:
         """Ends the link."""
@@ -286,7 +293,7 @@
         # No task waits for the connection any more.
         await self._client.close()
 
-    def note_clock(self, clock_ms: int | None) -> None:
+    def _note_clock(self, clock_ms: int | None) -> None:
         """Updates the estimate of the worker's clock from an answer.
 
         Args:
@@ -328,6 +335,50 @@
         """Makes an idle link renew the lease now."""
         await self._hold_signal.notify()
 
+    async def _supervise(
+        self,
+        work: collections.abc.Callable[[], collections.abc.Awaitable[None]],
+    ) -> None:
+        """Runs a loop of this link again after an unexpected error.
+
+        Whether an order that failed was carried out is unknown, so it counts
+        as sent without an answer.
+        """
+        delay_s = RETRY_DELAY_S
+        while not self._closed:
+            try:
+                await work()
+            except errors.InvariantError as error:
+                errors.report_invariant_error(error)
+                return
+            except Exception as error:
+                logs.unexpected_error(
+                    _LOG,
+                    'link_failed',
+                    error,
+                    worker=self._record.worker_id,
+                    work=work.__name__.strip('_'),
+                )
+                if work == self._order_loop:
+                    await self._settle_failed_order()
+                await curio.sleep(delay_s)
+                delay_s = min(2 * delay_s, MAX_FAILURE_DELAY_S)
+
+    async def _settle_failed_order(self) -> None:
+        """Takes up again the order that an unexpected error has ended."""
+        order, self._current_order = self._current_order, None
+        if order is None:
+            return
+        if order.start is not None:
+            run = layout.RunId(
+                layout.task_id(order.start.task), order.start.run
+            )
+            self._sending = None
+            self._unanswered_starts.add(run)
+            await self.stop(*run)
+        elif order.stop is not None:
+            self._orders.append(order)
+
     def _live_runs(self) -> list[tuple[layout.TaskId, ttypes.TaskRecord]]:
         return self._owner.live_runs(
             self._record.worker_id, self._record.incarnation
@@ -341,7 +392,7 @@
         self, clock_ms: int | None, outcome: OrderOutcome
     ) -> None:
         """Records an answer to an order or a renewal."""
-        self.note_clock(clock_ms)
+        self._note_clock(clock_ms)
         self._answered_at_s = clock.steady_s()
         self._unanswered = False
         if outcome not in _ANSWERS_OF_OTHERS:
@@ -643,7 +694,7 @@
             if not self._owner.leads():
                 await curio.sleep(RETRY_DELAY_S)
                 continue
-            order = self._orders.popleft()
+            order = self._current_order = self._orders.popleft()
             if order.start is not None:
                 await self._send_start(order.start)
             elif order.stop is not None:
@@ -652,6 +703,7 @@
                 await self._send_pace(*order.pace)
             elif order.check:
                 await self._send_check()
+            self._current_order = None
 
     async def _send_start(self, start: ttypes.RunStart) -> None:
         key = layout.task_id(start.task)
--- a/banyantrack/testing/work_simulation.py
+++ b/banyantrack/testing/work_simulation.py
@@ -18,6 +18,7 @@
 
 from banyantrack.core import clock
 from banyantrack.core import codec
+from banyantrack.core import findings
 from banyantrack.core import metrics
 from banyantrack.core import signals
 from banyantrack.daemons import work_api
@@ -333,6 +334,7 @@
             lambda *_: Fate.ANSWERED
         )
         self._leadership: work_leadership.WorkLeadership | None = None
+        self._sequence = 0
         self._tasks: list[curio.Task] = []
 
     @property
@@ -340,6 +342,12 @@
         """The replicated state, as the leader has it."""
         return self.leader.state
 
+    @property
+    def _api(self) -> work_api.WorkApi:
+        return work_api.WorkApi(
+            self.leader, self.state, self._leadership, pool=None
+        )
+
     def executor_at(self, address: str) -> Executor | None:
         """Returns the executor at an address."""
         for executor in self.executors:
@@ -454,10 +462,23 @@
         Args:
             executor: The executor.
         """
-        api = work_api.WorkApi(
-            self.leader, self.state, self._leadership, pool=None
+        await self._api.leave(executor.name, 0)
+
+    async def report(self, executor: Executor, *, clock_ms: int) -> None:
+        """Sends a report of an executor.
+
+        Args:
+            executor: The executor.
+            clock_ms: Clock in the report.
+        """
+        self._sequence += 1
+        report = ttypes.WorkerReport(
+            worker=executor.record,
+            sequence=self._sequence,
+            clock_ms=clock_ms,
+            remaining_ms=0,
         )
-        await api.leave(executor.name, 0)
+        await self._api.report(report, findings.Findings())
 
     def submit(
         self,
--- a/banyantrack/tests/test_work_leadership.py
+++ b/banyantrack/tests/test_work_leadership.py
@@ -2,9 +2,12 @@
 
 from __future__ import annotations
 
+from unittest import mock
+
 import curio
 import testtools
 
+from banyantrack.daemons import work_session
 from banyantrack.platform import workers
 from banyantrack.testing import work_simulation as simulation
 
@@ -130,3 +133,52 @@
     def test_ends_at_the_same_leader(self) -> None:
         # The same, for runs that this leader has seen alive before.
         self.check_ends(new_leader=False)
+
+
+class TestUnexpectedErrors(testtools.TestCase):
+    """A session that fails ends with its term."""
+
+    def test_round_that_raises(self) -> None:
+        # Guards against processes that end by themselves, one leader after
+        # the other, and against two sessions with one fencing token.
+        async def scenario(group: simulation.Group) -> None:
+            group.submit('a', work_ms=3000)
+            await curio.sleep(0.5)
+            member = group.leader
+
+            async def fail(*_: object) -> None:
+                raise ValueError('odd')
+
+            with mock.patch.object(work_session.WorkSession, '_round', fail):
+                await curio.sleep(1.0)
+            self.assertFalse(member.is_leader)
+            await group.elect()
+            await curio.sleep(10)
+            self.assertEqual([('a.0.0.0', 1)], group.observer.starts)
+            self.assertEqual({'completed': 1}, group.job_states())
+
+        simulation.run(scenario)
+
+
+class TestClocks(testtools.TestCase):
+    """Only an executor's own answers tell the time on its clock."""
+
+    def test_report_with_a_clock_that_is_ahead(self) -> None:
+        # Guards against a task that runs twice: the lease of a silent
+        # executor counted as over, by the clock in an entry of another
+        # writer.
+        async def scenario(group: simulation.Group) -> None:
+            group.submit('a', accelerators=8, work_ms=10_000)
+            await curio.sleep(1.0)
+            (runner,) = [e for e in group.executors if e.running]
+            await group.report(runner, clock_ms=2**62)
+            group.fate = lambda executor, _: (
+                Fate.REFUSED if executor is runner else Fate.ANSWERED
+            )
+            await curio.sleep(3.0)
+            group.fate = lambda *_: Fate.ANSWERED
+            await curio.sleep(20)
+            self.assertEqual([], group.observer.broken)
+            self.assertEqual([('a.0.0.0', 1)], group.observer.starts)
+
+        simulation.run(scenario)
--- a/banyantrack/tests/test_worker_link.py
+++ b/banyantrack/tests/test_worker_link.py
@@ -26,6 +26,8 @@
 
     Attributes:
         silent: Whether the worker answers nothing.
+        error: Raised by each call, unless it is None.
+        stopped: Runs whose stop was ordered.
         running: Runs that the worker lists.
         checks: Number of checks.
         answered_ms: The worker's clock in its last answer.
@@ -37,6 +39,8 @@
 
     def __init__(self) -> None:
         self.silent = False
+        self.error: Exception | None = None
+        self.stopped: list[tuple[layout.TaskId, int]] = []
         self.running: list[worker_client.RunningTask] = []
         self.checks = 0
         self.answered_ms = 0
@@ -52,6 +56,8 @@
     async def _answer(self, wait_ms: int = 0) -> None:
         self.waiting += 1
         try:
+            if self.error is not None:
+                raise self.error
             if self.silent:
                 await curio.sleep(ORDER_TIMEOUT_S + wait_ms / 1000)
                 raise worker_client.NoAnswerError('no reply', sent=True)
@@ -70,9 +76,13 @@
         """Starts a run; see `WorkerClient`."""
         return await self._order()
 
-    async def stop(self, *_: object, **__: object) -> typing.Any:
+    async def stop(
+        self, key: layout.TaskId, run: int, **_: object
+    ) -> typing.Any:
         """Stops a run; see `WorkerClient`."""
-        return await self._order()
+        order_reply = await self._order()
+        self.stopped.append((key, run))
+        return order_reply
 
     async def pace(self, *_: object, **__: object) -> typing.Any:
         """Changes the pace of a run; see `WorkerClient`."""
@@ -299,6 +309,52 @@
         self.run_link(scenario)
 
 
+class TestUnexpectedErrors(LinkTest):
+    """A link goes on after an error that no code handles."""
+
+    def test_renewals_and_orders_go_on(self) -> None:
+        # Guards against a worker that is followed no more, silently.
+        async def scenario(
+            link: worker_link.WorkerLink,
+            client: _FakeClient,
+            owner: _FakeOwner,
+        ) -> None:
+            self.run_task(client, owner)
+            client.error = ValueError('odd')
+            key = layout.TaskId('a' * 16, 0, 0, 0)
+            await link.stop(key, 1)
+            await curio.sleep(2.0)
+            client.error = None
+            renewed_ms = client.lease_end_ms
+            await curio.sleep(10.0)
+            self.assertLess(renewed_ms, client.lease_end_ms)
+            self.assertEqual([(key, 1)], client.stopped)
+
+        self.run_link(scenario)
+
+    def test_start_that_has_failed_is_settled(self) -> None:
+        async def scenario(
+            link: worker_link.WorkerLink,
+            client: _FakeClient,
+            owner: _FakeOwner,
+        ) -> None:
+            start = _start()
+            key = layout.task_id(start.task)
+            owner.runs = [(key, state_module._new_task())]
+            owner.runs[0][1].run = start.run
+            await curio.sleep(0.1)
+            client.error = ValueError('odd')
+            await link.start(start)
+            await curio.sleep(0.1)
+            client.error = None
+            await curio.sleep(5.0)
+            self.assertEqual([(key, start.run)], client.stopped)
+            ((_, end),) = owner.ends
+            self.assertEqual(ttypes.EndKind.NEVER, end.kind)
+
+        self.run_link(scenario)
+
+
 class TestChecks(LinkTest):
     """A silent worker is found out before a gang waits for it."""
 
