Check what backends and operators send as strictly as executors' entries

The same cause as for executors' entries, on the project's own interface: an announcement whose port has thousands of digits raised ValueError ("Exceeds the limit (4300 digits)"), one with half a character in a label was accepted and could not be encoded for gossip (UnicodeEncodeError). Both ended the task of the connection. Deadlines and revisions with thousands of digits and deeply nested bodies of operators did so, too.

Change: they are refused with 4xx, through the same two checks.

Evidence: both errors seen on the code before with the announcements of TestOwnInterface; it holds now.

--- a/banyantrack/core/documents.py
+++ b/banyantrack/core/documents.py
@@ -21,6 +21,7 @@
 from banyantrack.core import findings
 from banyantrack.core import registry
 from banyantrack.core import selectors
+from banyantrack.core import untrusted
 
 if typing.TYPE_CHECKING:
     import collections.abc
@@ -68,10 +69,8 @@
         ipaddress.ip_address(host.strip('[]'))
     except ValueError:
         return 'valid is IP:PORT with an IP number'
-    if not port.isascii() or not port.isdigit():
-        return 'valid is IP:PORT with a port number'
-    if not 0 < int(port) <= MAX_PORT:
-        return f'valid ports are 1 to {MAX_PORT}'
+    if not untrusted.parse_decimal(port, high=MAX_PORT):
+        return f'valid is IP:PORT with a port of 1 to {MAX_PORT}'
     return ''
 
 
--- a/banyantrack/core/numbers.py
+++ b/banyantrack/core/untrusted.py
@@ -1,4 +1,4 @@
-"""Numbers in texts that another process has written."""
+"""Checks of numbers and texts that another process has written."""
 
 from __future__ import annotations
 
@@ -23,3 +23,14 @@
         return None
     number = int(text)
     return number if number <= high else None
+
+
+def is_encodable(text: str) -> bool:
+    """Whether a text can be encoded as UTF-8, in which it is stored.
+
+    JSON can hold one half of a character that has two.
+
+    Args:
+        text: The text.
+    """
+    return not any('\ud800' <= character <= '\udfff' for character in text)
--- a/banyantrack/daemons/operator_api.py
+++ b/banyantrack/daemons/operator_api.py
@@ -14,6 +14,7 @@
 from banyantrack.core import logs
 from banyantrack.core import registry
 from banyantrack.core import states
+from banyantrack.core import untrusted
 from banyantrack.daemons import leadership
 from banyantrack.daemons import views
 from banyantrack.generated.cluster import ttypes as cluster
@@ -250,9 +251,9 @@
     text = request.headers.get('if-match', '').strip()
     if text in ('', '*'):
         return state_module.ANY_REVISION
-    bare = text.removeprefix('W/').strip('"')
-    if bare.isascii() and bare.isdigit() and int(bare) > 0:
-        return int(bare)
+    revision = untrusted.parse_decimal(text.removeprefix('W/').strip('"'))
+    if revision:
+        return revision
     raise findings.FindingsError.of(
         'headers',
         [
@@ -468,7 +469,13 @@
             )
             for kind, name in pairs
         ]
-    except (ValueError, KeyError, AttributeError, TypeError) as error:
+    except (
+        ValueError,
+        KeyError,
+        AttributeError,
+        TypeError,
+        RecursionError,
+    ) as error:
         return problems.reply(
             422, f'got {error}; valid is a list of "kind/name"'
         )
@@ -507,9 +514,9 @@
     text = _query_parameters(request.target).get(
         'from', str(api.state.revision)
     )
-    if not (text.isascii() and text.isdigit()):
-        return problems.reply(422, f'got from={text!r}; valid is a revision')
-    revision = int(text)
+    revision = untrusted.parse_decimal(text)
+    if revision is None:
+        return problems.reply(422, 'from: valid is a revision')
     deadline_s = time.monotonic() + WATCH_WAIT_S
     try:
         changes = api.state.feed.after(revision)
@@ -547,7 +554,7 @@
         wanted = json.loads(request.body)
         add = str(wanted.get('add', ''))
         remove = str(wanted.get('remove', ''))
-    except (ValueError, AttributeError) as error:
+    except (ValueError, AttributeError, RecursionError) as error:
         return problems.reply(422, f'not valid JSON: {error}')
     if not add and not remove:
         return problems.reply(
--- a/banyantrack/dispatch/requests.py
+++ b/banyantrack/dispatch/requests.py
@@ -10,6 +10,7 @@
 from banyantrack.core import ids
 from banyantrack.core import selectors
 from banyantrack.core import states
+from banyantrack.core import untrusted
 from banyantrack.generated.intent import ttypes as intent
 
 if typing.TYPE_CHECKING:
@@ -183,12 +184,9 @@
     if b'banyan-deadline-ms' not in headers:
         return default_ms
     text = _header_text(headers, b'banyan-deadline-ms')
-    if (
-        text.isascii()
-        and text.isdigit()
-        and (0 < int(text) <= MAX_DEADLINE_MS)
-    ):
-        return int(text)
+    deadline_ms = untrusted.parse_decimal(text, high=MAX_DEADLINE_MS)
+    if deadline_ms:
+        return deadline_ms
     raise _invalid_header(
         'Banyan-Deadline-Ms', text, f'valid are 1 to {MAX_DEADLINE_MS}'
     )
--- a/banyantrack/membership/announcements.py
+++ b/banyantrack/membership/announcements.py
@@ -6,6 +6,7 @@
 
 from banyantrack.core import documents
 from banyantrack.core import findings
+from banyantrack.core import untrusted
 from banyantrack.generated.cluster import ttypes as cluster
 
 MAX_SLOTS = 4096
@@ -47,7 +48,10 @@
     if labels is None:
         labels = {}
     if not isinstance(labels, dict) or not all(
-        isinstance(value, str) for value in labels.values()
+        isinstance(value, str)
+        and untrusted.is_encodable(name)
+        and untrusted.is_encodable(value)
+        for name, value in labels.items()
     ):
         found.add('labels', 'valid is an object with string values')
     found.raise_any('announcement')
--- a/banyantrack/platform/control_server.py
+++ b/banyantrack/platform/control_server.py
@@ -7,7 +7,7 @@
 
 from banyantrack.core import findings
 from banyantrack.core import logs
-from banyantrack.core import numbers
+from banyantrack.core import untrusted
 from banyantrack.platform import config as config_module
 from banyantrack.platform import reports
 from banyantrack.platform import wire
@@ -114,7 +114,9 @@
     ) -> None:
         body = await request.read_body(BODY_LIMIT_BYTES)
         if request.method == 'DELETE':
-            incarnation = numbers.parse_decimal(request.header(b'born') or '')
+            incarnation = untrusted.parse_decimal(
+                request.header(b'born') or ''
+            )
             await self._api.leave(worker_id, incarnation or 0)
             await request.respond(200, wire.JSON_TYPE, b'{}')
             return
@@ -150,7 +152,7 @@
         self, request: http_server.Request, number: str
     ) -> None:
         wave = None
-        wave_number = numbers.parse_decimal(number)
+        wave_number = untrusted.parse_decimal(number)
         if wave_number is not None:
             wave = await self._api.read_wave(wave_number)
         if wave is None:
--- a/banyantrack/platform/entry_server.py
+++ b/banyantrack/platform/entry_server.py
@@ -7,7 +7,7 @@
 
 from banyantrack.core import findings
 from banyantrack.core import logs
-from banyantrack.core import numbers
+from banyantrack.core import untrusted
 from banyantrack.generated.workload import ttypes
 from banyantrack.platform import jobs
 from banyantrack.platform import wire
@@ -141,7 +141,7 @@
 def _deadline_ms(request: http_server.Request) -> int:
     # The header holds the remaining time of the caller, not a time of day.
     text = request.header(b'deadline-ms') or ''
-    deadline_ms = numbers.parse_decimal(text)
+    deadline_ms = untrusted.parse_decimal(text)
     return DEFAULT_DEADLINE_MS if deadline_ms is None else deadline_ms
 
 
--- a/banyantrack/platform/wire.py
+++ b/banyantrack/platform/wire.py
@@ -7,6 +7,7 @@
 import typing
 
 from banyantrack.core import findings
+from banyantrack.core import untrusted
 
 JSON_TYPE = [(b'content-type', b'application/json')]
 # Numbers are stored as signed 64-bit integers, if not as 32-bit ones.
@@ -57,7 +58,7 @@
         value = self._get(name, str, required)
         if value is None:
             return ''
-        if not _is_encodable(value):
+        if not untrusted.is_encodable(value):
             self._add(name, 'is not valid Unicode')
             return ''
         if len(value) > limit:
@@ -110,7 +111,8 @@
         """Returns a list of strings; empty if the field is omitted."""
         values = self._get(name, list, required) or []
         if not all(
-            isinstance(value, str) and _is_encodable(value) for value in values
+            isinstance(value, str) and untrusted.is_encodable(value)
+            for value in values
         ):
             self._add(name, 'valid is a list of strings')
             return []
@@ -189,12 +191,7 @@
 
 def is_text(value: object) -> bool:
     """Whether a decoded value is a string that can be stored."""
-    return isinstance(value, str) and _is_encodable(value)
-
-
-def _is_encodable(text: str) -> bool:
-    """Whether a string is valid Unicode: JSON can hold half a character."""
-    return not any('\ud800' <= character <= '\udfff' for character in text)
+    return isinstance(value, str) and untrusted.is_encodable(value)
 
 
 def _type_name(value: object) -> str:
--- a/banyantrack/platform/workers.py
+++ b/banyantrack/platform/workers.py
@@ -5,7 +5,7 @@
 import typing
 
 from banyantrack.core import findings
-from banyantrack.core import numbers
+from banyantrack.core import untrusted
 from banyantrack.generated.workload import ttypes
 from banyantrack.platform import wire
 from banyantrack.transport import http_client
@@ -62,7 +62,7 @@
         return None
     job_id, *places = name.split('.')
     positions = [
-        numbers.parse_decimal(place, high=wire.MAX_INT32) for place in places
+        untrusted.parse_decimal(place, high=wire.MAX_INT32) for place in places
     ]
     if len(positions) != 3 or None in positions or not wire.is_text(job_id):
         return None
--- a/banyantrack/tests/test_odd_entries.py
+++ b/banyantrack/tests/test_odd_entries.py
@@ -7,7 +7,12 @@
 import typing
 
 import curio
+import testtools
 
+from banyantrack.core import findings
+from banyantrack.core import untrusted
+from banyantrack.dispatch import requests
+from banyantrack.membership import announcements
 from banyantrack.testing import platform_system
 from banyantrack.tests import test_platform
 from banyantrack.transport import http_client
@@ -164,3 +169,43 @@
             self.assertNotIn('Task Crash', system.log_text())
 
         self.run_with(scenario)
+
+
+class TestOwnInterface(testtools.TestCase):
+    """What backends and operators send is refused or can be passed on."""
+
+    ANNOUNCEMENT: typing.ClassVar = {
+        'id': 'b1',
+        'incarnation': 1,
+        'address': '127.0.0.1:9',
+        'zone': 'z1',
+        'labels': {'a': 'b'},
+        'slots': 8,
+    }
+
+    def check_refused(self, **values: typing.Any) -> None:
+        body = json.dumps(self.ANNOUNCEMENT | values).encode()
+        self.assertRaises(findings.FindingsError, announcements.parse, body)
+
+    def test_odd_announcements(self) -> None:
+        # Guards against an entry that stops following its backends.
+        announcements.parse(json.dumps(self.ANNOUNCEMENT).encode())
+        self.check_refused(address='127.0.0.1:' + '9' * 5000)
+        self.check_refused(address='127.0.0.1:70000')
+        self.check_refused(id='\ud800')
+        self.check_refused(labels={'a': '\ud800'})
+        self.check_refused(labels={'\ud800': 'a'})
+        self.check_refused(labels={'a': 1})
+        self.check_refused(incarnation=HUGE)
+        self.check_refused(slots=HUGE)
+
+    def test_numbers_with_many_digits(self) -> None:
+        digits = '9' * 5000
+        for text in (digits, '-1', '+1', '1_0', ' 1', '\u0661', '', '1.0'):
+            self.assertIsNone(untrusted.parse_decimal(text))
+        self.assertEqual(12, untrusted.parse_decimal('12'))
+        self.assertIsNone(untrusted.parse_decimal('12', high=11))
+        headers = {b'banyan-deadline-ms': digits.encode()}
+        self.assertRaises(
+            findings.FindingsError, requests._deadline_ms, headers, 1000
+        )
--- a/banyantrack/transport/addresses.py
+++ b/banyantrack/transport/addresses.py
@@ -5,7 +5,7 @@
 import socket
 import typing
 
-from banyantrack.core import numbers
+from banyantrack.core import untrusted
 
 
 MAX_PORT = 2**16 - 1
@@ -33,7 +33,7 @@
         ValueError: If the port is missing or is not a valid number.
     """
     host, _, port_text = text.rpartition(':')
-    port = numbers.parse_decimal(port_text, high=MAX_PORT)
+    port = untrusted.parse_decimal(port_text, high=MAX_PORT)
     if port is None:
         raise ValueError(f'valid is IP:PORT with a port up to {MAX_PORT}')
     return Address(host.strip('[]'), port)
