Acknowledge ends only to the incarnation that has listed them

Callers would see a task run again after it was done.

Cause: a renewal carries the number of the last end that is recorded. After a restart of the executor, until control has recorded the new incarnation, the renewals of the earlier one reach the new process, which numbers its ends anew. It then forgets ends that control has not seen. A later leader takes their runs for never begun.

Change: the number goes out only on a connection on which this incarnation has answered; on a new connection it is 0. A connection to another process is closed.

TestAcknowledgements fails without the change ("b.0.0.0 starts after it was done").

--- a/banyantrack/daemons/departures.py
+++ b/banyantrack/daemons/departures.py
@@ -27,12 +27,6 @@
 WATCH_DURATION_S = 2.0
 CHECK_INTERVAL_S = 0.05
 _LOG = logging.getLogger(__name__)
-_OTHERS = frozenset(
-    (
-        worker_client.OrderOutcome.REPLACED,
-        worker_client.OrderOutcome.OTHER_INCARNATION,
-    )
-)
 
 
 class Owner(typing.Protocol):
@@ -142,4 +136,6 @@
             refused = error.silence is worker_client.Silence.REFUSED
             draining = worker.state == ttypes.WorkerState.DRAINING
             return Finding.ENDED if refused and draining else Finding.UNKNOWN
-        return Finding.ENDED if reply.reason in _OTHERS else Finding.RUNS
+        if reply.reason in worker_client.ANSWERS_OF_OTHERS:
+            return Finding.ENDED
+        return Finding.RUNS
--- a/banyantrack/daemons/worker_link.py
+++ b/banyantrack/daemons/worker_link.py
@@ -51,10 +51,6 @@
 _LOG = logging.getLogger(__name__)
 End = ttypes.EndKind
 OrderOutcome = worker_client.OrderOutcome
-# Outcomes of answers that came from another process.
-_ANSWERS_OF_OTHERS = frozenset(
-    (OrderOutcome.REPLACED, OrderOutcome.OTHER_INCARNATION)
-)
 
 
 class Owner(typing.Protocol):
@@ -395,7 +391,7 @@
         self._note_clock(clock_ms)
         self._answered_at_s = clock.steady_s()
         self._unanswered = False
-        if outcome not in _ANSWERS_OF_OTHERS:
+        if outcome not in worker_client.ANSWERS_OF_OTHERS:
             self._contact_loss = None
 
     def _note_no_answer(self, error: worker_client.NoAnswerError) -> None:
@@ -786,7 +782,7 @@
             run=run[1],
             reason=order_reply.reason.value,
         )
-        if order_reply.reason not in _ANSWERS_OF_OTHERS:
+        if order_reply.reason not in worker_client.ANSWERS_OF_OTHERS:
             self._attempts_s.pop(run, None)
         if order_reply.reason is OrderOutcome.DONE:
             self._unanswered_starts.discard(run)
--- a/banyantrack/platform/workers.py
+++ b/banyantrack/platform/workers.py
@@ -86,6 +86,10 @@
 class HttpWorkerClient(worker_client.WorkerClient):
     """Sends orders to one executor over HTTP.
 
+    Invariant: ends are acknowledged only on a connection on which this
+    incarnation has answered before. The next incarnation of the executor,
+    which has the same address and id, numbers its ends anew.
+
     Args:
         worker: The worker.
     """
@@ -151,17 +155,21 @@
         wait_ms: int,
     ) -> worker_client.LeaseReply:
         """Renews the lease; see `WorkerClient`."""
-        values = {'fencingToken': token, 'lastSeen': acknowledged}
+        client = self._lease_client
+        values = {
+            'fencingToken': token,
+            'lastSeen': acknowledged if client.is_open else 0,
+        }
         if lease_end_ms is not None:
             values['expiresMs'] = lease_end_ms
         if wait_ms:
             values['waitMs'] = wait_ms
         timeout_s = ORDER_TIMEOUT_S + wait_ms / 1000
         answer = await self._call(
-            self._lease_client, '/v1/hold', values, timeout_s=timeout_s
+            client, '/v1/hold', values, timeout_s=timeout_s
         )
         body = self._parse_body(answer)
-        outcome = self._checked_outcome(answer, body)
+        outcome = await self._checked_outcome(client, answer, body)
         clock_ms = _clock_ms(body)
         if outcome is not OrderOutcome.DONE or body is None:
             return worker_client.LeaseReply(outcome, clock_ms)
@@ -179,7 +187,10 @@
         """Asks whether the worker answers; see `WorkerClient`."""
         return await self._order(
             '/v1/hold',
-            {'fencingToken': token, 'lastSeen': acknowledged},
+            {
+                'fencingToken': token,
+                'lastSeen': acknowledged if self._order_client.is_open else 0,
+            },
             timeout_s=CHECK_TIMEOUT_S,
         )
 
@@ -195,13 +206,11 @@
         *,
         timeout_s: float = ORDER_TIMEOUT_S,
     ) -> worker_client.OrderReply:
-        answer = await self._call(
-            self._order_client, path, values, timeout_s=timeout_s
-        )
+        client = self._order_client
+        answer = await self._call(client, path, values, timeout_s=timeout_s)
         body = self._parse_body(answer)
-        return worker_client.OrderReply(
-            self._checked_outcome(answer, body), _clock_ms(body)
-        )
+        outcome = await self._checked_outcome(client, answer, body)
+        return worker_client.OrderReply(outcome, _clock_ms(body))
 
     async def _call(
         self,
@@ -217,6 +226,7 @@
             values,
             timeout_s=timeout_s,
             headers=[('expect-instance', self._worker.worker_id)],
+            only_if_open=bool(values.get('lastSeen')),
         )
 
     def _parse_body(self, answer: http_client.Answer) -> wire.Fields | None:
@@ -226,13 +236,25 @@
         fields = wire.parse(answer.body, found)
         return None if found.found else fields
 
-    def _checked_outcome(
-        self, answer: http_client.Answer, body: wire.Fields | None
+    async def _checked_outcome(
+        self,
+        client: http_client.HttpClient,
+        answer: http_client.Answer,
+        body: wire.Fields | None,
     ) -> OrderOutcome:
         """Returns the outcome of an order.
 
-        It is `OTHER_INCARNATION` if a different incarnation answered.
+        It is `OTHER_INCARNATION` if a different incarnation answered. A
+        connection to another process is closed.
         """
+        outcome = self._outcome(answer, body)
+        if outcome in worker_client.ANSWERS_OF_OTHERS:
+            await client.close()
+        return outcome
+
+    def _outcome(
+        self, answer: http_client.Answer, body: wire.Fields | None
+    ) -> OrderOutcome:
         # An answer with status 421 holds the incarnation of another executor,
         # which has the address now.
         if answer.status != 421 and body is not None and 'born' in body:
@@ -297,6 +319,7 @@
     *,
     timeout_s: float,
     headers: typing.Sequence[tuple[str, str]] = (),
+    only_if_open: bool = False,
 ) -> http_client.Answer:
     try:
         return await client.request(
@@ -305,6 +328,7 @@
             headers=[('content-type', 'application/json'), *headers],
             body=wire.encode(values),
             timeout_s=timeout_s,
+            only_if_open=only_if_open,
         )
     except http_client.HttpError as error:
         raise worker_client.NoAnswerError(
--- a/banyantrack/testing/work_simulation.py
+++ b/banyantrack/testing/work_simulation.py
@@ -147,69 +147,78 @@
         return status, body
 
 
-class _Client(workers.HttpWorkerClient):
-    """Client of an executor that calls it without a network.
+class _Connection:
+    """Connection to an executor without a network.
+
+    It has the methods of `HttpClient` that are used for orders.
 
     Args:
-        worker: The worker.
+        address: Address of the executor.
         member: Member that sends the orders.
         group: The group of the member.
     """
 
-    def __init__(
-        self, worker: ttypes.WorkerRecord, member: Member, group: Group
-    ) -> None:
-        super().__init__(worker)
+    def __init__(self, address: str, member: Member, group: Group) -> None:
+        self._address = address
         self._member = member
         self._group = group
+        # Incarnation that the connection was opened to; 0 if it is closed.
+        self._peer = 0
 
-    async def _call(
+    @property
+    def is_open(self) -> bool:
+        """Whether the executor's process has not ended since the opening."""
+        executor = self._group.executor_at(self._address)
+        return bool(self._peer) and executor.incarnation == self._peer
+
+    async def close(self) -> None:
+        """Closes the connection."""
+        self._peer = 0
+
+    async def request(
         self,
-        client: http_client.HttpClient,
-        path: str,
-        values: dict[str, object],
+        method: str,
+        target: str,
         *,
+        headers: collections.abc.Sequence[tuple[str, str]],
+        body: bytes,
         timeout_s: float,
+        only_if_open: bool = False,
     ) -> http_client.Answer:
-        # The order as it is read at the other end.
-        body = json.loads(wire.encode(values))
+        """Sends an order; see `HttpClient.request`."""
         await self._member.wait_awake()
+        if only_if_open and not self.is_open:
+            raise _no_response(http_client.NoResponse.CLOSED, sent=False)
         await curio.sleep(LINK_DELAY_S)
-        executor = self._group.executor_at(self._worker.address)
-        if executor is None or not executor.up:
-            raise worker_client.NoAnswerError(
-                'refused', sent=False, silence=worker_client.Silence.REFUSED
-            )
-        fate = self._group.fate(executor, path)
-        if fate is Fate.REFUSED:
-            raise worker_client.NoAnswerError(
-                'refused', sent=False, silence=worker_client.Silence.REFUSED
-            )
-        if executor.name != self._worker.worker_id:
+        executor = self._group.executor_at(self._address)
+        fate = self._group.fate(executor, target)
+        if not executor.up or fate is Fate.REFUSED:
+            await self.close()
+            raise _no_response(http_client.NoResponse.REFUSED, sent=False)
+        self._peer = incarnation = executor.incarnation
+        if dict(headers)['expect-instance'] != executor.name:
             return http_client.Answer(421, [], b'{}')
-        incarnation = executor.incarnation
+        values = json.loads(body)
         answer: tuple[int, dict[str, typing.Any]] | None = None
         if fate is Fate.LATE:
             await self._group.spawn(
-                self._carry_out_late, executor, incarnation, path, body
+                self._carry_out_late, executor, incarnation, target, values
             )
         else:
             async with curio.ignore_after(timeout_s):
-                answer = await executor.carry_out(path, body)
+                answer = await executor.carry_out(target, values)
         if answer is None or fate is not Fate.ANSWERED:
             await curio.sleep(timeout_s)
             await self._member.wait_awake()
-            raise worker_client.NoAnswerError(
-                'no answer', silence=worker_client.Silence.TIMEOUT
-            )
+            await self.close()
+            raise _no_response(http_client.NoResponse.TIMEOUT)
         await curio.sleep(LINK_DELAY_S)
         await self._member.wait_awake()
         if executor.incarnation != incarnation:
-            raise worker_client.NoAnswerError(
-                'closed', silence=worker_client.Silence.CLOSED
-            )
-        status, values = answer
-        return http_client.Answer(status, [], wire.encode(values))
+            await self.close()
+            raise _no_response(http_client.NoResponse.CLOSED)
+        status, answered = answer
+        return http_client.Answer(status, [], wire.encode(answered))
 
     async def _carry_out_late(
         self,
@@ -218,12 +227,35 @@
         path: str,
         values: dict[str, typing.Any],
     ) -> None:
-        await curio.sleep(self._group.rng.uniform(*LATE_S))
+        await curio.sleep(self._group.rng.uniform(*self._group.late_s))
         # An order that a process has not carried out ends with the process.
         if executor.incarnation == incarnation:
             await executor.carry_out(path, values)
 
 
+def _no_response(
+    cause: http_client.NoResponse, *, sent: bool = True
+) -> http_client.HttpError:
+    return http_client.HttpError(cause.value, sent=sent, cause=cause)
+
+
+class _Client(workers.HttpWorkerClient):
+    """Client of an executor that calls it without a network.
+
+    Args:
+        worker: The worker.
+        member: Member that sends the orders.
+        group: The group of the member.
+    """
+
+    def __init__(
+        self, worker: ttypes.WorkerRecord, member: Member, group: Group
+    ) -> None:
+        super().__init__(worker)
+        self._order_client = _Connection(worker.address, member, group)
+        self._lease_client = _Connection(worker.address, member, group)
+
+
 class _PlatformClient(worker_client.PlatformClient):
     """Opens clients that call without a network; offers no services."""
 
@@ -308,6 +340,7 @@
         executors: The executors.
         leader: The member that leads.
         fate: Decides what becomes of an order, from the executor and path.
+        late_s: Range of the time until a late order is carried out.
     """
 
     def __init__(
@@ -333,6 +366,7 @@
         self.fate: collections.abc.Callable[[Executor, str], Fate] = (
             lambda *_: Fate.ANSWERED
         )
+        self.late_s = LATE_S
         self._leadership: work_leadership.WorkLeadership | None = None
         self._sequence = 0
         self._tasks: list[curio.Task] = []
--- a/banyantrack/tests/test_work_leadership.py
+++ b/banyantrack/tests/test_work_leadership.py
@@ -11,6 +11,7 @@
 from banyantrack.platform import workers
 from banyantrack.testing import work_simulation as simulation
 
+HOLD = '/v1/hold'
 START = '/v1/run-start'
 Fate = simulation.Fate
 
@@ -182,3 +183,46 @@
             self.assertEqual([('a.0.0.0', 1)], group.observer.starts)
 
         simulation.run(scenario)
+
+
+class TestAcknowledgements(testtools.TestCase):
+    """An end is acknowledged only to the incarnation that has listed it."""
+
+    def test_renewal_that_reaches_the_next_incarnation(self) -> None:
+        # Guards against a task that runs again after it was done: a renewal
+        # for the earlier incarnation acknowledged an end that the next one,
+        # which numbers its ends anew, had not listed yet.
+        async def scenario(group: simulation.Group) -> None:
+            (executor,) = group.executors
+            group.submit('a', count=3, work_ms=200)
+            # The leader follows it through the crash.
+            group.submit('b', work_ms=2000)
+            await curio.sleep(1.0)
+            late: list[Fate] = []
+            group.late_s = (3.0, 3.0)
+
+            def fate(_: simulation.Executor, path: str) -> Fate:
+                return late[0] if late and path == HOLD else Fate.ANSWERED
+
+            group.fate = fate
+            await executor.crash()
+            await curio.sleep(0.5)
+            await executor.open_again()
+            # The leader does not know yet that the next incarnation runs.
+            late.append(Fate.LATE)
+            await curio.sleep(0.3)
+            late.clear()
+            group.record(executor.record)
+            await curio.sleep(0.1)
+            self.assertEqual(['b.0.0.0'], executor.running)
+            # Its end is not listed until late renewals are carried out, for
+            # less than a lease.
+            late.append(Fate.REFUSED)
+            await curio.sleep(4.5)
+            await group.elect()
+            late.clear()
+            await curio.sleep(20)
+            self.assertEqual([], group.observer.broken)
+            self.assertEqual({'completed': 2}, group.job_states())
+
+        simulation.run(scenario, executors=1)
--- a/banyantrack/transport/http_client.py
+++ b/banyantrack/transport/http_client.py
@@ -84,6 +84,14 @@
         self._address = address
         self._connection: http.Connection | None = None
 
+    @property
+    def is_open(self) -> bool:
+        """Whether a connection is open that the peer has not closed."""
+        return (
+            self._connection is not None
+            and self._connection.has_no_pending_input()
+        )
+
     async def request(
         self,
         method: str,
@@ -93,6 +101,7 @@
         body: bytes = b'',
         timeout_s: float = 10.0,
         host: str = '',
+        only_if_open: bool = False,
     ) -> Answer:
         """Sends one request and reads the complete response.
 
@@ -103,10 +112,20 @@
             body: Request body.
             timeout_s: Seconds until the request is aborted.
             host: Value of the `Host` header; empty sends the address.
+            only_if_open: Whether the request fails, with nothing sent, unless
+                a connection is open. Another process may listen at the
+                address when the next one is opened.
 
         Raises:
             HttpError: If no complete response was received in time.
         """
+        if only_if_open and not self.is_open:
+            await self.close()
+            raise HttpError(
+                f'{self._address}: the peer has closed the connection',
+                sent=False,
+                cause=NoResponse.CLOSED,
+            )
         sent = False
         try:
             async with curio.timeout_after(timeout_s):
@@ -146,10 +165,9 @@
             await connection.close()
 
     async def _connect(self, timeout_s: float) -> http.Connection:
-        if self._connection is not None:
-            if self._connection.has_no_pending_input():
-                return self._connection
-            await self.close()
+        if self.is_open:
+            return self._connection
+        await self.close()
         sock = await rpc.connect(self._address, timeout_s=timeout_s)
         self._connection = http.Connection(sock, h11.CLIENT)
         return self._connection
--- a/banyantrack/workload/worker_client.py
+++ b/banyantrack/workload/worker_client.py
@@ -72,6 +72,12 @@
     INVALID = 'invalid'
 
 
+# Outcomes of answers that came from another process.
+ANSWERS_OF_OTHERS = frozenset(
+    (OrderOutcome.REPLACED, OrderOutcome.OTHER_INCARNATION)
+)
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class OrderReply:
     """Answer to an order to start, stop or pace a run.
