Simulation of work sessions: a task under two crashes may be given up

The check of random pauses took each failed job for lost. A job fails without cause as before if fewer have crashed under each of its tasks. Any executor may crash now, not only the first.

--- a/banyantrack/testing/work_simulation.py
+++ b/banyantrack/testing/work_simulation.py
@@ -341,6 +341,7 @@
         leader: The member that leads.
         fate: Decides what becomes of an order, from the executor and path.
         late_s: Range of the time until a late order is carried out.
+        crashes: Executors that have crashed under each task.
     """
 
     def __init__(
@@ -367,6 +368,7 @@
             lambda *_: Fate.ANSWERED
         )
         self.late_s = LATE_S
+        self.crashes: collections.Counter[str] = collections.Counter()
         self._leadership: work_leadership.WorkLeadership | None = None
         self._sequence = 0
         self._tasks: list[curio.Task] = []
@@ -480,6 +482,8 @@
             executor: The executor.
             down_s: Time until it starts again.
         """
+        for task in executor.running:
+            self.crashes[task] += 1
         await executor.crash()
         await curio.sleep(down_s)
         await executor.open_again()
--- a/banyantrack/tests/test_work_leadership.py
+++ b/banyantrack/tests/test_work_leadership.py
@@ -8,7 +8,9 @@
 import testtools
 
 from banyantrack.daemons import work_session
+from banyantrack.generated.workload import ttypes
 from banyantrack.platform import workers
+from banyantrack.testing import fake_executor
 from banyantrack.testing import work_simulation as simulation
 
 HOLD = '/v1/hold'
@@ -293,9 +295,18 @@
                 await self._disturb(group)
             group.fate = lambda *_: Fate.ANSWERED
             await curio.sleep(240)
-            states = group.job_states()
-            if set(states) != {'completed'}:
-                broken.append(f'jobs are not completed: {dict(states)}')
+            # A task under which two executors have crashed may be given up.
+            may_fail = {
+                task.partition('.')[0]
+                for task, crashes in group.crashes.items()
+                if crashes >= fake_executor.CRASHES_TO_GIVE_UP
+            }
+            for job_id, record in group.state.jobs.items():
+                given_up = record.state == ttypes.JobState.FAILED
+                if record.state != ttypes.JobState.COMPLETED and not (
+                    given_up and job_id in may_fail
+                ):
+                    broken.append(f'{job_id} is in state {record.state}')
             broken.extend(group.observer.broken)
 
         simulation.run(scenario, seed=seed, executors=4)
@@ -325,9 +336,8 @@
         elif kind < 0.85:
             await group.notify_departure(rng.choice(group.executors))
         elif kind < 0.95:
-            # Always the same: a task under which two hosts have crashed may
-            # be given up.
-            await group.restart(group.executors[0], rng.uniform(0.0, 3.0))
+            executor = rng.choice(group.executors)
+            await group.restart(executor, rng.uniform(0.0, 3.0))
 
     async def _cut_off(
         self, group: simulation.Group, duration_s: float
