Follow misrouted runs through changes of leader and to their ends

A start that is sent before control has recorded a restart of its executor reaches the executor's next incarnation. Callers would see such a task run twice after a change of the leader, or run again after it was done.

Cause: only the session that had sent the start knew. The next leader saw a run on an incarnation that had ended, and recorded it as lost at once. And an end that the next incarnation listed was recorded for that incarnation, so it changed nothing, but it was acknowledged.

Change: a new session stops all such runs at the recorded incarnation before it counts them as lost, at the latest once that worker's lease has lapsed. An end names the incarnation that its run is recorded with.

--- a/banyantrack/daemons/work_session.py
+++ b/banyantrack/daemons/work_session.py
@@ -76,6 +76,8 @@
 # Losses of workers are kept for this long after their first sign; their runs
 # have been recorded as lost long before.
 LOSS_RETENTION_S = 60.0
+# Kinds of ends that workers do not list.
+_UNLISTED_ENDS = frozenset((ttypes.EndKind.NEVER, ttypes.EndKind.LOST))
 _LOG = logging.getLogger(__name__)
 _Propose = typing.Callable[
     [ttypes.WorkCommand], 'collections.abc.Awaitable[typing.Any]'
@@ -225,6 +227,8 @@
 
     async def record_ends(self, ends: list[ttypes.RunEnd]) -> bool:
         """Records ends of runs; returns whether they are committed."""
+        for end in ends:
+            self._attribute_end(end)
         before = {
             (end.worker_id, layout.task_id(end.task)): self._state.task(
                 layout.task_id(end.task)
@@ -248,6 +252,20 @@
             self._handle_end(end, key, run, now_ms - started_ms)
         return True
 
+    def _attribute_end(self, end: ttypes.RunEnd) -> None:
+        """Names the recorded incarnation in the end of a misrouted run.
+
+        A run number is sent to one worker only, so the run that its next
+        incarnation has listed is the recorded one.
+        """
+        task = self._state.task(layout.task_id(end.task))
+        if (
+            task is not None
+            and (task.run, task.worker_id) == (end.run, end.worker_id)
+            and end.kind not in _UNLISTED_ENDS
+        ):
+            end.incarnation = task.incarnation
+
     async def on_fenced(self, subject: str) -> None:
         """Steps down, since a higher fencing token has been seen.
 
@@ -400,6 +418,7 @@
     async def run(self) -> None:
         """Runs planning rounds until the leadership ends."""
         logs.event(_LOG, 'work_started', term=self._term)
+        self._inherit_misrouted_runs()
         try:
             while self.lasts():
                 if not self.leads():
@@ -671,6 +690,20 @@
         worker = self._state.workers.get(task.worker_id)
         return worker is None or worker.incarnation != task.incarnation
 
+    def _inherit_misrouted_runs(self) -> None:
+        """Notes runs that an earlier leader may have misrouted.
+
+        It may have started them on the recorded incarnation of their worker
+        before it knew of that incarnation.
+        """
+        for key, _, task in self._state.all_live_runs():
+            worker = self._state.workers.get(task.worker_id)
+            if worker is None or worker.incarnation == task.incarnation:
+                continue
+            self._misrouted[layout.RunId(key, task.run)] = _MisroutedRun(
+                worker.worker_id, worker.incarnation
+            )
+
     def _note_misrouted_runs(self, link: worker_link.WorkerLink) -> None:
         """Records runs whose start may have reached a later incarnation."""
         worker_id = link.record.worker_id
@@ -699,7 +732,7 @@
             elif not misrouted.stop_sent:
                 misrouted.stop_sent = True
                 await link.stop(*run_id)
-            elif run_id not in link.stopping:
+            elif run_id not in link.stopping or link.give_up(run_id):
                 del self._misrouted[run_id]
 
     # Rounds.
--- a/banyantrack/daemons/worker_link.py
+++ b/banyantrack/daemons/worker_link.py
@@ -317,6 +317,17 @@
         self._stopping.add(layout.RunId(key, run))
         await self._order(_Order(stop=(key, run)))
 
+    def give_up(self, run: layout.RunId) -> bool:
+        """Counts a run that is being stopped as lost, if its lease lapsed.
+
+        Returns:
+            Whether the run has ended with the lease of a silent worker.
+        """
+        if self._responsive or not self._lease_has_lapsed():
+            return False
+        self._lost_starts.add(run)
+        return True
+
     async def pace(self, key: layout.TaskId, run: int, percent: int) -> None:
         """Queues a change of pace, in percent of full speed."""
         await self._order(_Order(pace=(key, run, percent)))
--- a/banyantrack/tests/test_work_leadership.py
+++ b/banyantrack/tests/test_work_leadership.py
@@ -11,6 +11,7 @@
 from banyantrack.generated.workload import ttypes
 from banyantrack.platform import workers
 from banyantrack.testing import fake_executor
+from banyantrack.testing import work_builders as builders
 from banyantrack.testing import work_simulation as simulation
 
 HOLD = '/v1/hold'
@@ -262,6 +263,73 @@
         simulation.run(scenario)
 
 
+class TestMisroutedStarts(testtools.TestCase):
+    """A start may reach the next incarnation of its worker."""
+
+    async def misroute(self, group: simulation.Group, work_ms: int) -> None:
+        """Starts a task on an executor whose restart is not known yet."""
+        executor, spare = group.executors
+        group.record(
+            builders.worker(
+                spare.name,
+                incarnation=spare.incarnation,
+                address=spare.address,
+                accelerators=0,
+            )
+        )
+        await curio.sleep(0.1)
+        await executor.crash()
+        await executor.open_again()
+        group.submit('a', accelerators=8, work_ms=work_ms)
+        await curio.sleep(0.03)
+        self.assertEqual(['a.0.0.0'], executor.running)
+        group.record(spare.record)
+
+    def test_run_that_the_next_leader_finds(self) -> None:
+        # Guards against a task that runs twice: the next leader recorded the
+        # run as lost with the incarnation that it was meant for.
+        async def scenario(group: simulation.Group) -> None:
+            await self.misroute(group, work_ms=5000)
+            group.record(group.executors[0].record)
+            await group.elect()
+            await curio.sleep(20)
+            self.assertEqual([], group.observer.broken)
+            self.assertEqual({'completed': 1}, group.job_states())
+
+        simulation.run(scenario)
+
+    def test_run_whose_executor_is_silent(self) -> None:
+        # Guards against a task that waits for ever for its former executor.
+        async def scenario(group: simulation.Group) -> None:
+            await self.misroute(group, work_ms=5000)
+            silent = group.executors[0]
+            group.fate = lambda executor, _: (
+                Fate.REFUSED if executor is silent else Fate.ANSWERED
+            )
+            group.record(silent.record)
+            await group.elect()
+            await curio.sleep(20)
+            self.assertEqual([], group.observer.broken)
+            self.assertEqual({'completed': 1}, group.job_states())
+
+        simulation.run(scenario)
+
+    def test_run_that_is_done_before_it_is_stopped(self) -> None:
+        # Guards against a task that runs again after it was done: its end was
+        # acknowledged to the next incarnation, but not recorded.
+        async def scenario(group: simulation.Group) -> None:
+            await self.misroute(group, work_ms=50)
+            await curio.sleep(0.1)
+            self.assertEqual([], group.executors[0].running)
+            group.record(group.executors[0].record)
+            await curio.sleep(10)
+            self.assertEqual([], group.observer.broken)
+            self.assertEqual([('a.0.0.0', 1)], group.observer.starts)
+            self.assertEqual({'completed': 1}, group.job_states())
+
+        simulation.run(scenario)
+
+
 class TestRandomPauses(testtools.TestCase):
     """Pauses of all kinds and lengths, beside orders without an answer."""
 
