Keep a machine pending while the lease lapses under its upkeep call

A call to begin an upkeep that is not answered may have begun it. A leader whose lease lapsed for a moment forgot the call, and could begin the upkeep of another machine of the wave: more machines down than `maximum`. Now the machine stays pending as long as the session lasts.

Evidence: TestUpkeep fails without the change.

--- a/banyantrack/daemons/upkeep.py
+++ b/banyantrack/daemons/upkeep.py
@@ -39,6 +39,9 @@
     def leads(self) -> bool:
         """Whether no other leader can have been elected."""
 
+    def lasts(self) -> bool:
+        """Whether the leader may send orders now or later."""
+
     async def on_fenced(self, subject: str) -> None:
         """Called when a higher fencing token has been seen.
 
@@ -117,8 +120,12 @@
 
     async def _begin(self, wave: int, machine: str) -> None:
         try:
-            while self._owner.leads():
-                if await self._begin_once(wave, machine):
+            # A call without an answer may have begun the upkeep, so the
+            # machine stays pending while the leader's lease has lapsed.
+            while self._owner.lasts():
+                if self._owner.leads() and await self._begin_once(
+                    wave, machine
+                ):
                     return
                 await curio.sleep(RETRY_DELAY_S)
         finally:
--- a/banyantrack/testing/work_simulation.py
+++ b/banyantrack/testing/work_simulation.py
@@ -257,7 +257,7 @@
 
 
 class _PlatformClient(worker_client.PlatformClient):
-    """Opens clients that call without a network; offers no services."""
+    """Opens clients that call without a network."""
 
     def __init__(self, member: Member, group: Group) -> None:
         self._member = member
@@ -269,8 +269,13 @@
     async def advise(self, *_: object, **__: object) -> None:
         raise worker_client.NoAnswerError('no policy service')
 
-    async def begin_upkeep(self, *_: object, **__: object) -> typing.Any:
-        raise worker_client.NoAnswerError('no machines service')
+    async def begin_upkeep(
+        self, machine: str, *_: object, **__: object
+    ) -> worker_client.OrderOutcome:
+        await self._member.wait_awake()
+        await curio.sleep(LINK_DELAY_S)
+        self._group.upkeeps.append(machine)
+        raise worker_client.NoAnswerError('no answer')
 
 
 class Member:
@@ -342,6 +347,8 @@
         fate: Decides what becomes of an order, from the executor and path.
         late_s: Range of the time until a late order is carried out.
         crashes: Executors that have crashed under each task.
+        upkeeps: Machines of all calls to begin an upkeep; each call is
+            carried out, but not answered.
     """
 
     def __init__(
@@ -369,6 +376,7 @@
         )
         self.late_s = LATE_S
         self.crashes: collections.Counter[str] = collections.Counter()
+        self.upkeeps: list[str] = []
         self._leadership: work_leadership.WorkLeadership | None = None
         self._sequence = 0
         self._tasks: list[curio.Task] = []
@@ -494,6 +502,24 @@
         """Records a worker, as after its report."""
         self.state.apply(ttypes.WorkCommand(workers=[worker]), clock.now_ms())
 
+    def start_wave(self, machines: list[str]) -> None:
+        """Starts a wave of upkeep, one machine at a time.
+
+        Args:
+            machines: The machines, in the order of the wave.
+        """
+        wave = ttypes.Wave(
+            number=1,
+            machines=machines,
+            duration_s=60,
+            at_once=1,
+            accepted_ms=clock.now_ms(),
+            begun=[],
+            begun_ms=[],
+            state=ttypes.WaveState.RUNNING,
+        )
+        self.state.apply(ttypes.WorkCommand(wave=wave), clock.now_ms())
+
     async def notify_departure(self, executor: Executor) -> None:
         """Passes on a notice that an executor leaves; it may be a late one.
 
--- a/banyantrack/tests/test_work_leadership.py
+++ b/banyantrack/tests/test_work_leadership.py
@@ -330,6 +330,33 @@
         simulation.run(scenario)
 
 
+class TestUpkeep(testtools.TestCase):
+    """An upkeep whose call is not answered counts as begun."""
+
+    def test_lease_that_lapses(self) -> None:
+        # Guards against more machines in upkeep than the wave allows: a
+        # session that was opened anew knew of no call under way.
+        async def scenario(group: simulation.Group) -> None:
+            # The machine that comes first in the wave is busy.
+            group.submit('a', accelerators=8, work_ms=1000)
+            await curio.sleep(0.1)
+            (busy,) = [e for e in group.executors if e.running]
+            machines = sorted(
+                (executor.record.machine for executor in group.executors),
+                key=busy.record.machine.__ne__,
+            )
+            group.start_wave(machines)
+            await curio.sleep(0.3)
+            self.assertEqual({machines[1]}, set(group.upkeeps))
+            await curio.sleep(1.5)
+            # Longer than the delay between two calls.
+            await group.lapse(0.7)
+            await curio.sleep(2.0)
+            self.assertEqual({machines[1]}, set(group.upkeeps))
+
+        simulation.run(scenario)
+
+
 class TestRandomPauses(testtools.TestCase):
     """Pauses of all kinds and lengths, beside orders without an answer."""
 
