Leave the end of an incarnation that has started again to its report

The watch after a notice recorded a worker as gone when a later incarnation answered. That incarnation may have got a start for the former one; without its record such a run was not followed. Now its report is waited for, which comes within a heartbeat. Found by reading; not seen in a run.

--- a/banyantrack/daemons/departures.py
+++ b/banyantrack/daemons/departures.py
@@ -57,10 +57,12 @@
 class DepartureWatch:
     """Checks workers after a notice, during one leadership term.
 
-    Invariant: an incarnation is recorded as left only if another one answers
-    at its address, or if it has announced its end (`DRAINING`) and nothing
-    listens at its address. Refused connections alone prove nothing, since a
-    cut may refuse them, too; the lease then bounds the runs of the worker.
+    Invariant: an incarnation is recorded as left only if another worker
+    answers at its address, or if it has announced its end (`DRAINING`) and
+    nothing listens at its address. Refused connections alone prove nothing,
+    since a cut may refuse them, too; the lease then bounds the runs of the
+    worker. A later incarnation of it may have got orders for this one, so its
+    report is waited for.
 
     Args:
         platform_client: Creates clients of workers.
@@ -101,6 +103,7 @@
     async def _watch(self, worker: ttypes.WorkerRecord) -> None:
         key = (worker.worker_id, worker.incarnation)
         client = self._platform_client.open(worker)
+        finding = Finding.UNKNOWN
         try:
             while (
                 self._owner.lasts() and clock.steady_s() < self._until_s[key]
@@ -108,13 +111,16 @@
                 current = self._find_worker(worker.worker_id)
                 if current is None or current.incarnation != key[1]:
                     return
-                if await self._check(client, current) is Finding.ENDED:
+                finding = await self._check(client, current)
+                if finding is Finding.ENDED:
                     await self._owner.on_left(current)
                     return
                 await curio.sleep(CHECK_INTERVAL_S)
             logs.event(
                 _LOG,
-                'departure_refuted',
+                'departure_refuted'
+                if finding is Finding.RUNS
+                else 'departure_unconfirmed',
                 level=logging.WARNING,
                 worker=worker.worker_id,
                 incarnation=worker.incarnation,
@@ -136,6 +142,8 @@
             refused = error.silence is worker_client.Silence.REFUSED
             draining = worker.state == ttypes.WorkerState.DRAINING
             return Finding.ENDED if refused and draining else Finding.UNKNOWN
-        if reply.reason in worker_client.ANSWERS_OF_OTHERS:
+        if reply.reason is worker_client.OrderOutcome.REPLACED:
             return Finding.ENDED
+        if reply.reason is worker_client.OrderOutcome.OTHER_INCARNATION:
+            return Finding.UNKNOWN
         return Finding.RUNS
