Record an end that is listed again only once

Since ends are acknowledged only on a connection that this incarnation has answered on, a list after a broken connection shows recorded ends again. Each time they were proposed again, and the time until then was learned as another duration of the task. Ends up to the last recorded one are skipped now.

--- a/banyantrack/daemons/worker_link.py
+++ b/banyantrack/daemons/worker_link.py
@@ -565,7 +565,11 @@
             if running.checkpoint:
                 self._checkpoints[running.key] = running.checkpoint
         self._owner.on_progress(self._record.worker_id, lease_reply)
-        ends = [self._reported_end(ended) for ended in lease_reply.ended]
+        ends = [
+            self._reported_end(ended)
+            for ended in lease_reply.ended
+            if ended.number > self._last_end_recorded
+        ]
         listed = {(r.key, r.run) for r in lease_reply.running}
         listed |= {(e.key, e.run) for e in lease_reply.ended}
         known = set()
@@ -598,7 +602,7 @@
             await curio.sleep(RETRY_DELAY_S)
             return
         numbers = [ended.number for ended in lease_reply.ended]
-        self._last_end_recorded = max(numbers, default=self._last_end_recorded)
+        self._last_end_recorded = max(self._last_end_recorded, *numbers, 0)
         for end in ends:
             run = (layout.task_id(end.task), end.run)
             self._forget_run(run)
--- a/banyantrack/testing/work_simulation.py
+++ b/banyantrack/testing/work_simulation.py
@@ -101,6 +101,11 @@
         """Whether its process runs."""
         return bool(self._tasks)
 
+    @property
+    def has_ends(self) -> bool:
+        """Whether ends of its runs are not acknowledged yet."""
+        return bool(self._ends)
+
     @property
     def record(self) -> ttypes.WorkerRecord:
         """The record that its reports lead to."""
--- a/banyantrack/tests/test_work_leadership.py
+++ b/banyantrack/tests/test_work_leadership.py
@@ -230,6 +230,30 @@
 
         simulation.run(scenario, executors=1)
 
+    def test_end_that_is_listed_again(self) -> None:
+        # Guards against durations that are learned from one run many times,
+        # and get longer each time.
+        async def scenario(group: simulation.Group) -> None:
+            holds: list[str] = []
+
+            def fate(executor: simulation.Executor, path: str) -> Fate:
+                if path != HOLD or not executor.has_ends:
+                    return Fate.ANSWERED
+                holds.append(path)
+                # The connection breaks after each list of the end.
+                return Fate.REFUSED if len(holds) % 2 else Fate.ANSWERED
+
+            with mock.patch.object(
+                work_session.WorkSession, '_handle_end', autospec=True
+            ) as handle_end:
+                group.fate = fate
+                group.submit('a', work_ms=500)
+                group.submit('b', work_ms=9000)
+                await curio.sleep(4)
+            self.assertEqual(1, handle_end.call_count)
+
+        simulation.run(scenario, executors=1)
+
 
 class TestLateStarts(testtools.TestCase):
     """A start without an answer outlives the lease of its worker."""
