Count a former leader's lease until the worker's first answer

Callers would see a task run twice if the connections to a worker were refused between its first answer to a new leader and that leader's first renewal: with no renewal of its own sent, the leader took the worker's lease for over, and recorded its runs as lost. A former leader may have renewed it until the first answer; from then on its renewals are fenced.

Evidence: TestInheritedLeases fails without the change ("a.0.0.0 twice").

--- a/banyantrack/daemons/worker_link.py
+++ b/banyantrack/daemons/worker_link.py
@@ -558,6 +558,11 @@
         self, lease_reply: worker_client.LeaseReply, sent_s: float
     ) -> None:
         first = not self._reconciled
+        if first and lease_reply.clock_ms is not None:
+            # A previous leader may have renewed the lease until this answer.
+            self._lease_end_ms = max(
+                self._lease_end_ms, lease_reply.clock_ms + self._lease_ms
+            )
         for run, attempt_s in list(self._attempts_s.items()):
             if attempt_s < sent_s:
                 del self._attempts_s[run]
--- a/banyantrack/tests/test_work_leadership.py
+++ b/banyantrack/tests/test_work_leadership.py
@@ -188,6 +188,35 @@
         simulation.run(scenario)
 
 
+class TestInheritedLeases(testtools.TestCase):
+    """A previous leader's lease counts until the worker's answer."""
+
+    def test_cut_after_the_first_list(self) -> None:
+        # Guards against a task that runs twice: with no renewal of its own
+        # sent yet, the leader took the lease of its predecessor for over.
+        async def scenario(group: simulation.Group) -> None:
+            group.submit('a', accelerators=8, work_ms=12_000)
+            await curio.sleep(1.0)
+            (runner,) = [e for e in group.executors if e.running]
+            holds: list[str] = []
+
+            def fate(executor: simulation.Executor, path: str) -> Fate:
+                if executor is not runner:
+                    return Fate.ANSWERED
+                holds.append(path)
+                return Fate.ANSWERED if len(holds) == 1 else Fate.REFUSED
+
+            group.fate = fate
+            await group.elect()
+            await curio.sleep(3.0)
+            group.fate = lambda *_: Fate.ANSWERED
+            await curio.sleep(20)
+            self.assertEqual([], group.observer.broken)
+            self.assertEqual([('a.0.0.0', 1)], group.observer.starts)
+
+        simulation.run(scenario)
+
+
 class TestAcknowledgements(testtools.TestCase):
     """An end is acknowledged only to the incarnation that has listed it."""
 
