Decode names of tasks and texts with fewer steps

A leader decodes the name of each run in each list. Also a test of requests that are bound to an open connection.

--- a/banyantrack/core/untrusted.py
+++ b/banyantrack/core/untrusted.py
@@ -33,4 +33,10 @@
     Args:
         text: The text.
     """
-    return not any('\ud800' <= character <= '\udfff' for character in text)
+    if text.isascii():
+        return True
+    try:
+        text.encode()
+    except UnicodeEncodeError:
+        return False
+    return True
--- a/banyantrack/platform/workers.py
+++ b/banyantrack/platform/workers.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import re
 import typing
 
 from banyantrack.core import findings
@@ -23,6 +24,11 @@
 MACHINE_TIMEOUT_S = 2.0
 # Most ends that an executor lists in one answer.
 ENDS_PER_LIST = 500
+# `JOB.OCCURRENCE.STEP.INDEX`; a regular expression is the fastest check, and a
+# leader decodes thousands of names a second.
+_TASK_NAME = re.compile(
+    r'([^.]*)\.(\d{1,10})\.(\d{1,10})\.(\d{1,10})', re.ASCII
+)
 OrderOutcome = worker_client.OrderOutcome
 # Outcomes by the reason in an answer with status 409.
 CONFLICT_OUTCOMES = {
@@ -60,13 +66,13 @@
     """Returns the task of a name; None if it is not a valid name."""
     if not isinstance(name, str):
         return None
-    job_id, *places = name.split('.')
-    positions = [
-        untrusted.parse_decimal(place, high=wire.MAX_INT32) for place in places
-    ]
-    if len(positions) != 3 or None in positions or not wire.is_text(job_id):
+    match = _TASK_NAME.fullmatch(name)
+    if match is None or not untrusted.is_encodable(match[1]):
         return None
-    return layout.TaskId(job_id, *positions)
+    occurrence, step, index = map(int, match.group(2, 3, 4))
+    if max(occurrence, step, index) > wire.MAX_INT32:
+        return None
+    return layout.TaskId(match[1], occurrence, step, index)
 
 
 def _order_outcome(
--- a/banyantrack/tests/test_transport.py
+++ b/banyantrack/tests/test_transport.py
@@ -173,6 +173,46 @@
         self.assertEqual([200, 200], curio.run(run))
 
 
+class TestOpenConnections(testtools.TestCase):
+    """A request may be bound to the process that answered the one before."""
+
+    def test_no_request_reaches_another_process(self) -> None:
+        async def run() -> None:
+            address = free_address()
+            served: list[str] = []
+
+            async def serve(request: http_server.Request) -> None:
+                served.append(request.path)
+                await request.respond(200, [])
+
+            server = http_server.HttpServer(address, serve)
+            await server.start()
+            client = http_client.HttpClient(address)
+            self.assertFalse(client.is_open)
+            await self.check_refused(client)
+            await client.request('GET', '/first')
+            self.assertTrue(client.is_open)
+            await client.request('GET', '/second', only_if_open=True)
+            await server.close()
+            server = http_server.HttpServer(address, serve)
+            await server.start()
+            await self.check_refused(client)
+            self.assertEqual(['/first', '/second'], served)
+            await server.close()
+
+        curio.run(run)
+
+    async def check_refused(self, client: http_client.HttpClient) -> None:
+        """Checks that a request fails with nothing sent."""
+        try:
+            await client.request('GET', '/other', only_if_open=True)
+        except http_client.HttpError as error:
+            self.assertFalse(error.sent)
+            self.assertIs(http_client.NoResponse.CLOSED, error.cause)
+        else:
+            self.fail('the request was sent')
+
+
 class TestHeaders(testtools.TestCase):
     """Headers that concern one connection are not forwarded."""
 
--- a/banyantrack/transport/http_client.py
+++ b/banyantrack/transport/http_client.py
@@ -119,17 +119,10 @@
         Raises:
             HttpError: If no complete response was received in time.
         """
-        if only_if_open and not self.is_open:
-            await self.close()
-            raise HttpError(
-                f'{self._address}: the peer has closed the connection',
-                sent=False,
-                cause=NoResponse.CLOSED,
-            )
         sent = False
         try:
             async with curio.timeout_after(timeout_s):
-                connection = await self._connect(timeout_s)
+                connection = await self._connect(timeout_s, only_if_open)
                 sent = True
                 headers = [('host', host or self._address), *headers]
                 await self._send(connection, method, target, headers, body)
@@ -164,10 +157,14 @@
         if connection is not None:
             await connection.close()
 
-    async def _connect(self, timeout_s: float) -> http.Connection:
+    async def _connect(
+        self, timeout_s: float, only_if_open: bool
+    ) -> http.Connection:
         if self.is_open:
             return self._connection
         await self.close()
+        if only_if_open:
+            raise http.ClosedError('the peer has closed the connection')
         sock = await rpc.connect(self._address, timeout_s=timeout_s)
         self._connection = http.Connection(sock, h11.CLIENT)
         return self._connection
