Spread reports over members; close the longest idle order connections

Cause: at 300 own hosts the leader holds three connections for each of 1,500 workers (orders, lease renewals, reports) and reaches its 4,096 descriptors; it then loses and reopens connections, and members end when a file cannot be opened (CAPACITY.md).

Change: with more workers than leader_reports (default 500), the leader sends workers to the other reachable members, and these forward only what changes a worker's record. At most order_connections (default 512) idle connections for orders stay open. Fleets below these sizes are served as before.

--- a/banyantrack/daemons/control_platform.py
+++ b/banyantrack/daemons/control_platform.py
@@ -9,6 +9,7 @@
 
 from banyantrack.core import clock
 from banyantrack.core import logs
+from banyantrack.daemons import report_spread
 from banyantrack.daemons import work_api
 from banyantrack.daemons import work_leadership
 from banyantrack.generated.workload import ttypes
@@ -69,7 +70,13 @@
             propose,
             metrics,
         )
-        self._api = work_api.WorkApi(replica, state, self._leadership, pool)
+        self._api = work_api.WorkApi(
+            replica,
+            state,
+            self._leadership,
+            pool,
+            report_spread.ReportSpread(replica, state, options.leader_reports),
+        )
         self._server = control_server.ControlServer(options.address, self._api)
 
     def register(self, server: rpc.RpcServer) -> None:
--- a/banyantrack/daemons/work_api.py
+++ b/banyantrack/daemons/work_api.py
@@ -10,6 +10,7 @@
 from banyantrack.core import clock
 from banyantrack.core import findings
 from banyantrack.core import logs
+from banyantrack.daemons import report_spread
 from banyantrack.generated.cluster import ttypes as cluster
 from banyantrack.generated.workload import ttypes
 from banyantrack.replication import errors as replication_errors
@@ -48,6 +49,7 @@
         state: The replicated state.
         leadership: Scheduling of task jobs while this member leads.
         pool: Connections to other members.
+        spread: Decides which member a worker reports to.
     """
 
     def __init__(
@@ -56,11 +58,13 @@
         state: state_module.WorkState,
         leadership: work_leadership.WorkLeadership,
         pool: rpc.RpcPool,
+        spread: report_spread.ReportSpread,
     ) -> None:
         self._replica = replica
         self._state = state
         self._leadership = leadership
         self._pool = pool
+        self._spread = spread
         # Incarnation and sequence of the last report, by worker id.
         self._last_reports: dict[str, tuple[int, int]] = {}
 
@@ -281,12 +285,21 @@
         if config is not None and pool not in {p.name for p in config.pools}:
             found.add('pool', f'got {pool!r}, which is not configured')
             return
+        if self._spread.is_known(report):
+            return
         await self._forward_report(
             ttypes.ReportRequest(
                 report=report, leaving_worker_id='', leaving_incarnation=0
             )
         )
 
+    def report_receiver(self, worker_id: str) -> str:
+        """Returns the RPC address of the member for a worker's reports.
+
+        It is empty if none is known.
+        """
+        return self._spread.receiver(worker_id)
+
     async def leave(self, worker_id: str, incarnation: int) -> None:
         """Passes on to the leader that a worker ends.
 
--- a/banyantrack/platform/control_server.py
+++ b/banyantrack/platform/control_server.py
@@ -130,12 +130,10 @@
         if found.found:
             await _respond_findings(request, 'report_refused', found)
             return
-        leader = self._api.replica.leader
         answer = {}
-        if leader is not None and leader.address:
-            # The executor sends its next reports directly to the leader, so
-            # that they need not be forwarded.
-            answer['heartbeatAddr'] = self._interface_address(leader.address)
+        receiver = self._api.report_receiver(worker_id)
+        if receiver:
+            answer['heartbeatAddr'] = self._interface_address(receiver)
         await request.respond(200, wire.JSON_TYPE, wire.encode(answer))
 
     async def _start_wave(self, request: http_server.Request) -> None:
--- a/banyantrack/platform/workers.py
+++ b/banyantrack/platform/workers.py
@@ -10,6 +10,7 @@
 from banyantrack.generated.workload import ttypes
 from banyantrack.platform import wire
 from banyantrack.transport import http_client
+from banyantrack.transport import idle_connections
 from banyantrack.workload import layout
 from banyantrack.workload import worker_client
 
@@ -98,10 +99,17 @@
 
     Args:
         worker: The worker.
+        order_connections: Limits the open connections for orders to all
+            workers.
     """
 
-    def __init__(self, worker: ttypes.WorkerRecord) -> None:
+    def __init__(
+        self,
+        worker: ttypes.WorkerRecord,
+        order_connections: idle_connections.IdleConnections,
+    ) -> None:
         self._worker = worker
+        self._order_connections = order_connections
         self._order_client = http_client.HttpClient(worker.address)
         # A renewal of the lease may wait until a run ends. It has a separate
         # connection so that it does not delay orders.
@@ -202,6 +210,7 @@
 
     async def close(self) -> None:
         """Closes all connections."""
+        self._order_connections.forget(self._order_client)
         await self._order_client.close()
         await self._lease_client.close()
 
@@ -213,7 +222,12 @@
         timeout_s: float = ORDER_TIMEOUT_S,
     ) -> worker_client.OrderReply:
         client = self._order_client
-        answer = await self._call(client, path, values, timeout_s=timeout_s)
+        try:
+            answer = await self._call(
+                client, path, values, timeout_s=timeout_s
+            )
+        finally:
+            await self._order_connections.note_used(client)
         body = self._parse_body(answer)
         outcome = await self._checked_outcome(client, answer, body)
         return worker_client.OrderReply(outcome, _clock_ms(body))
@@ -356,10 +370,13 @@
                 options.advice_address
             )
         self._machines_address = options.machines_address
+        self._order_connections = idle_connections.IdleConnections(
+            options.order_connections
+        )
 
     def open(self, worker: ttypes.WorkerRecord) -> worker_client.WorkerClient:
         """Returns a client of one incarnation of a worker."""
-        return HttpWorkerClient(worker)
+        return HttpWorkerClient(worker, self._order_connections)
 
     async def advise(
         self, group: layout.GroupKey, workers: list[str], *, timeout_s: float
--- a/banyantrack/testing/work_simulation.py
+++ b/banyantrack/testing/work_simulation.py
@@ -21,6 +21,7 @@
 from banyantrack.core import findings
 from banyantrack.core import metrics
 from banyantrack.core import signals
+from banyantrack.daemons import report_spread
 from banyantrack.daemons import work_api
 from banyantrack.daemons import work_leadership
 from banyantrack.generated.settings import ttypes as settings
@@ -32,6 +33,7 @@
 from banyantrack.testing import virtual
 from banyantrack.testing import work_builders as builders
 from banyantrack.transport import http_client
+from banyantrack.transport import idle_connections
 from banyantrack.workload import state as state_module
 from banyantrack.workload import worker_client
 
@@ -45,6 +47,10 @@
 COMMIT_DURATION_S = 0.004
 # Range of the time after which an order without an answer is carried out.
 LATE_S = (2.0, 12.0)
+# Workers above which reports are spread over members; more than it has.
+LEADER_REPORTS = 500
+# Connections for orders that stay open; more than it has workers.
+ORDER_CONNECTIONS = 500
 # Time from the start of an executor until control has recorded it.
 REGISTRATION_DELAY_S = 0.1
 OPTIONS = settings.ControlPlatformSettings(
@@ -256,7 +262,9 @@
     def __init__(
         self, worker: ttypes.WorkerRecord, member: Member, group: Group
     ) -> None:
-        super().__init__(worker)
+        super().__init__(
+            worker, idle_connections.IdleConnections(ORDER_CONNECTIONS)
+        )
         self._order_client = _Connection(worker.address, member, group)
         self._lease_client = _Connection(worker.address, member, group)
 
@@ -394,7 +402,13 @@
     @property
     def _api(self) -> work_api.WorkApi:
         return work_api.WorkApi(
-            self.leader, self.state, self._leadership, pool=None
+            self.leader,
+            self.state,
+            self._leadership,
+            pool=None,
+            spread=report_spread.ReportSpread(
+                self.leader, self.state, LEADER_REPORTS
+            ),
         )
 
     def executor_at(self, address: str) -> Executor | None:
--- a/banyantrack/tests/test_work_api.py
+++ b/banyantrack/tests/test_work_api.py
@@ -6,6 +6,7 @@
 import testtools
 
 from banyantrack.core import codec
+from banyantrack.daemons import report_spread
 from banyantrack.daemons import work_api
 from banyantrack.generated.workload import ttypes
 from banyantrack.testing import work_builders as builders
@@ -52,8 +53,13 @@
         data = codec.encode(self.state.snapshot())
         self.state.restore(codec.decode(ttypes.WorkSnapshot, data))
         self.leadership = _FakeLeadership(self.state)
+        replica = _FakeReplica()
         self.api = work_api.WorkApi(
-            _FakeReplica(), self.state, self.leadership, None
+            replica,
+            self.state,
+            self.leadership,
+            None,
+            report_spread.ReportSpread(replica, self.state, 500),
         )
 
     def report(self, sequence: int, **values: object) -> None:
--- a/banyantrack/transport/http_client.py
+++ b/banyantrack/transport/http_client.py
@@ -83,6 +83,12 @@
     def __init__(self, address: str) -> None:
         self._address = address
         self._connection: http.Connection | None = None
+        self._in_use = False
+
+    @property
+    def in_use(self) -> bool:
+        """Whether a request is in progress."""
+        return self._in_use
 
     @property
     def is_open(self) -> bool:
@@ -120,6 +126,7 @@
             HttpError: If no complete response was received in time.
         """
         sent = False
+        self._in_use = True
         try:
             async with curio.timeout_after(timeout_s):
                 connection = await self._connect(timeout_s, only_if_open)
@@ -148,6 +155,8 @@
         except BaseException:
             await self.close()
             raise
+        finally:
+            self._in_use = False
         await self._reuse_or_close(connection)
         return answer
 
--- a/schema/settings.thrift
+++ b/schema/settings.thrift
@@ -92,6 +92,12 @@
   12: optional double upkeep_s (default = "2", min = "0", max = "86400")
   // Longest time that a serving task may be over its target.
   13: optional i32 interference_ms (default = "4000", min = "100", max = "600000")
+  // Connections for orders to workers that stay open at once; beyond this,
+  // those that were idle for longest are closed.
+  22: optional i32 order_connections (default = "512", min = "1", max = "100000")
+  // Workers above which they report to all members in turn, not only to the
+  // leader.
+  23: optional i32 leader_reports (default = "500", min = "0", max = "1000000")
 }
 
 // The platform's interface of an entry.
