Evacuate an availability zone: orders, state and enforcement

Cause: operators need to stop new runs in an availability zone without stopping its workers one by one.

`WorkSession.is_current` withholds starts that were recorded or queued before, at the moment they would be sent. Settings `zones` and `evacuation_grace_ms`; the grace is not used yet.

--- a/banyantrack/core/documents.py
+++ b/banyantrack/core/documents.py
@@ -31,6 +31,7 @@
 
 _LOADER = getattr(yaml, 'CSafeLoader', yaml.SafeLoader)
 _NAME = re.compile(r'[a-z0-9]([a-z0-9._-]{0,61}[a-z0-9])?')
+_ZONE = re.compile(r'[A-Za-z0-9._:-]{1,253}')
 _SHA256 = re.compile(r'[0-9a-f]{64}')
 _SCALAR_TYPES = {
     'i32': int,
@@ -62,6 +63,13 @@
     return 'valid are up to 63 of a-z, 0-9, ".", "_" and "-"'
 
 
+@FORMS.register('zone')
+def _check_zone(text: str) -> str:
+    if _ZONE.fullmatch(text):
+        return ''
+    return 'valid are 1 to 253 letters, digits, ".", "_", ":" and "-"'
+
+
 @FORMS.register('address')
 def _check_address(text: str) -> str:
     host, _, port = text.rpartition(':')
--- a/banyantrack/daemons/control_platform.py
+++ b/banyantrack/daemons/control_platform.py
@@ -69,7 +69,9 @@
             propose,
             metrics,
         )
-        self._api = work_api.WorkApi(replica, state, self._leadership, pool)
+        self._api = work_api.WorkApi(
+            replica, state, self._leadership, pool, zones=options.zones
+        )
         self._server = control_server.ControlServer(options.address, self._api)
 
     def register(self, server: rpc.RpcServer) -> None:
--- a/banyantrack/daemons/work_session.py
+++ b/banyantrack/daemons/work_session.py
@@ -361,8 +361,35 @@
             and task.worker_id == start.worker_id
             and not task.done
             and self._fits(start.worker_id)
+            and not self._is_evacuated(start)
         )
 
+    def _is_evacuated(self, start: ttypes.RunStart) -> bool:
+        """Whether a start may reach an evacuated zone.
+
+        The latest report of a worker says which zone it is in. Without the
+        record of the incarnation that the start is for, the zone is unknown.
+        """
+        in_force = self._state.evacuations.in_force
+        if not in_force:
+            return False
+        worker = self._state.workers.get(start.worker_id)
+        zone = None
+        if worker is not None and worker.incarnation == start.incarnation:
+            zone = worker.zone
+            if zone not in in_force:
+                return False
+        logs.event(
+            _LOG,
+            'start_withheld',
+            job=start.task.job_id,
+            run=start.run,
+            worker=start.worker_id,
+            zone=zone,
+        )
+        self._metrics.counter('banyan_starts_withheld').add()
+        return True
+
     def _fits(self, worker_id: str) -> bool:
         """Whether the runs of a worker fit into it; its room may shrink."""
         worker = self._state.workers.get(worker_id)
@@ -742,6 +769,7 @@
         return (
             link is not None
             and link.usable
+            and worker.zone not in self._state.evacuations.in_force
             and not self._departures.is_watched(worker)
         )
 
--- a/banyantrack/platform/control_server.py
+++ b/banyantrack/platform/control_server.py
@@ -4,6 +4,7 @@
 
 import logging
 import typing
+import urllib.parse
 
 from banyantrack.core import findings
 from banyantrack.core import logs
@@ -15,6 +16,7 @@
 from banyantrack.transport import addresses
 from banyantrack.transport import http
 from banyantrack.transport import http_server
+from banyantrack.workload import evacuations
 
 if typing.TYPE_CHECKING:
     from banyantrack.daemons import work_api
@@ -23,6 +25,9 @@
 WORKER_PREFIX = '/v1/instances/'
 WAVE_START_PATH = '/v1/wave-start'
 WAVE_PREFIX = '/v1/wave-get/'
+EVACUATION_PREFIX = '/v1/evacuations/'
+# Requester of evacuations that come in the platform's form, which names none.
+PLATFORM_REQUESTER = 'platform'
 BODY_LIMIT_BYTES = 8 * 1024 * 1024
 _LOG = logging.getLogger(__name__)
 
@@ -84,6 +89,11 @@
             await self._start_wave(request)
         elif request.method == 'GET' and path.startswith(WAVE_PREFIX):
             await self._get_wave(request, path.removeprefix(WAVE_PREFIX))
+        elif path.startswith(EVACUATION_PREFIX):
+            await self._serve_evacuation(
+                request,
+                urllib.parse.unquote(path.removeprefix(EVACUATION_PREFIX)),
+            )
         else:
             await _respond_error(
                 request, 404, f'no resource for {request.method} {path}'
@@ -161,6 +171,35 @@
         body = wire.encode(config_module.wave_body(wave))
         await request.respond(200, wire.JSON_TYPE, body)
 
+    async def _serve_evacuation(
+        self, request: http_server.Request, zone: str
+    ) -> None:
+        body = await request.read_body(BODY_LIMIT_BYTES)
+        if request.method not in ('POST', 'DELETE'):
+            await _respond_error(request, 405, 'valid methods: POST, DELETE')
+            return
+        found = findings.Findings()
+        if body:
+            found.add('body', f'got {len(body)} bytes; valid is none')
+        elif request.method == 'DELETE':
+            await self._api.end_evacuation(zone, PLATFORM_REQUESTER)
+        else:
+            verdict = await self._api.begin_evacuation(
+                zone, PLATFORM_REQUESTER, found
+            )
+            if verdict is evacuations.Verdict.FULL:
+                await _respond_error(
+                    request,
+                    409,
+                    f'{evacuations.EVACUATIONS_LIMIT} zones are evacuated;'
+                    ' valid are no more',
+                )
+                return
+        if found.found:
+            await _respond_findings(request, 'evacuation_refused', found)
+            return
+        await request.respond(200, wire.JSON_TYPE, b'{}')
+
     def _interface_address(self, rpc_address: str) -> str:
         """Returns the address of this interface at another member.
 
--- /dev/null
+++ b/banyantrack/tests/test_evacuations.py
@@ -0,0 +1,300 @@
+"""Tests of evacuations of availability zones."""
+
+from __future__ import annotations
+
+import curio
+import testtools
+
+from banyantrack.core import codec
+from banyantrack.core import findings
+from banyantrack.core import metrics
+from banyantrack.daemons import work_api
+from banyantrack.daemons import work_session
+from banyantrack.generated.settings import ttypes as settings
+from banyantrack.generated.workload import ttypes
+from banyantrack.replication import errors as replication_errors
+from banyantrack.testing import work_builders as builders
+from banyantrack.workload import evacuations
+from banyantrack.workload import state as state_module
+
+NOW_MS = builders.NOW_MS
+Verdict = evacuations.Verdict
+
+
+def order(
+    state: state_module.WorkState,
+    zone: str,
+    *,
+    end: bool = False,
+    now_ms: int = NOW_MS,
+    requester: str = 'operator',
+) -> Verdict:
+    """Applies an order to a state and returns its outcome."""
+    command = ttypes.EvacuationCommand(zone=zone, requester=requester, end=end)
+    return state.apply(ttypes.WorkCommand(evacuation=command), now_ms)
+
+
+def restored(
+    state: state_module.WorkState, snapshot: ttypes.WorkSnapshot
+) -> state_module.WorkState:
+    """Returns a state after it has installed an encoded snapshot."""
+    data = codec.encode(snapshot)
+    state.restore(codec.decode(ttypes.WorkSnapshot, data))
+    return state
+
+
+class TestState(testtools.TestCase):
+    """Orders are idempotent and outlast snapshots."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.state = builders.state()
+
+    def in_force(self) -> dict[str, int]:
+        """Returns the times of acceptance by zone."""
+        return {
+            zone: evacuation.accepted_ms
+            for zone, evacuation in self.state.evacuations.in_force.items()
+        }
+
+    def test_begin_that_is_repeated(self) -> None:
+        # Guards against a retry that moves the time of acceptance, from which
+        # the grace of runs counts.
+        self.assertIs(Verdict.DONE, order(self.state, 'z1'))
+        self.assertIs(
+            Verdict.DONE, order(self.state, 'z1', now_ms=NOW_MS + 900)
+        )
+        self.assertEqual({'z1': NOW_MS}, self.in_force())
+
+    def test_end_before_begin(self) -> None:
+        # Guards against an early end that cancels the begin after it.
+        self.assertIs(Verdict.DONE, order(self.state, 'z1', end=True))
+        self.assertEqual({}, self.in_force())
+        order(self.state, 'z1')
+        self.assertEqual({'z1': NOW_MS}, self.in_force())
+
+    def test_end_and_second_begin(self) -> None:
+        order(self.state, 'z1')
+        for _ in range(2):
+            self.assertIs(Verdict.DONE, order(self.state, 'z1', end=True))
+        self.assertEqual({}, self.in_force())
+        self.assertIn('z1', self.state.evacuations.ended)
+        order(self.state, 'z1', now_ms=NOW_MS + 900)
+        self.assertEqual({'z1': NOW_MS + 900}, self.in_force())
+        self.assertEqual({}, dict(self.state.evacuations.ended))
+
+    def test_more_zones_than_are_stored(self) -> None:
+        # Guards against an accepted order that is refused when repeated.
+        limit = evacuations.EVACUATIONS_LIMIT
+        for number in range(limit):
+            order(self.state, f'z{number}')
+        self.assertIs(Verdict.FULL, order(self.state, 'more'))
+        self.assertIs(Verdict.DONE, order(self.state, 'z0'))
+        self.assertEqual(limit, len(self.in_force()))
+        order(self.state, 'z0', end=True)
+        self.assertIs(Verdict.DONE, order(self.state, 'more'))
+
+    def test_ended_evacuations_are_kept_up_to_a_limit(self) -> None:
+        for number in range(evacuations.EVACUATIONS_LIMIT + 1):
+            order(self.state, f'z{number}')
+            order(self.state, f'z{number}', end=True)
+        self.assertNotIn('z0', self.state.evacuations.ended)
+        self.assertIn('z1', self.state.evacuations.ended)
+
+    def test_snapshot(self) -> None:
+        # Guards against a member that knows nothing of an order because the
+        # snapshot it started from lacks it.
+        order(self.state, 'z1', requester='ana')
+        order(self.state, 'z2')
+        order(self.state, 'z2', end=True, now_ms=NOW_MS + 5)
+        snapshot = self.state.snapshot()
+        self.state = restored(state_module.WorkState(), snapshot)
+        self.assertEqual({'z1': NOW_MS}, self.in_force())
+        self.assertEqual(
+            'ana', self.state.evacuations.in_force['z1'].requester
+        )
+        self.assertEqual(
+            NOW_MS + 5, self.state.evacuations.ended['z2'].ended_ms
+        )
+
+    def test_end_in_a_snapshot_reaches_a_member_that_was_behind(self) -> None:
+        order(self.state, 'z1')
+        ahead = restored(state_module.WorkState(), self.state.snapshot())
+        order(ahead, 'z1', end=True)
+        restored(self.state, ahead.snapshot())
+        self.assertEqual({}, self.in_force())
+
+    def test_snapshot_of_a_previous_build(self) -> None:
+        # Guards against an evacuation that a member forgets because a leader
+        # of the previous build sends it a snapshot.
+        order(self.state, 'z1')
+        snapshot = self.state.snapshot()
+        snapshot.evacuations = None
+        restored(self.state, snapshot)
+        self.assertEqual({'z1': NOW_MS}, self.in_force())
+
+    def test_log_of_a_previous_build(self) -> None:
+        # Its commands and snapshots have no field for evacuations.
+        command = codec.encode(
+            ttypes.WorkCommand(workers=[builders.worker('w1')])
+        )
+        self.assertIsNone(
+            self.state.apply(codec.decode(ttypes.WorkCommand, command), NOW_MS)
+        )
+        snapshot = self.state.snapshot()
+        snapshot.evacuations = None
+        self.state = restored(state_module.WorkState(), snapshot)
+        self.assertIn('w1', self.state.workers)
+        self.assertEqual({}, self.in_force())
+
+
+class _FakeReplica:
+    """Member that leads, unless it is told otherwise."""
+
+    is_leader = True
+    term = 3
+
+    def __init__(self) -> None:
+        self.ready = True
+
+    def lease_holds(self) -> bool:
+        return True
+
+    def not_leader_error(self) -> replication_errors.NotLeaderError:
+        return replication_errors.NotLeaderError('', '')
+
+
+class TestStartsInAnEvacuatedZone(testtools.TestCase):
+    """No start is sent to a worker of an evacuated zone."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.state = builders.state(
+            builders.worker('w1'), builders.worker('w2', zone='z2')
+        )
+        self.session = work_session.WorkSession(
+            _FakeReplica(),
+            self.state,
+            None,
+            settings.ControlPlatformSettings(
+                remote_factor=3.0, stop_ms=200, upkeep_s=2.0
+            ),
+            None,
+            metrics.Metrics(),
+        )
+
+    def recorded_start(self, **values: object) -> ttypes.RunStart:
+        """Records a start on `w1`; values replace fields of the worker."""
+        builders.submit(self.state, builders.job('a'))
+        start = ttypes.RunStart(
+            task=ttypes.TaskKey(job_id='a', occurrence=0, step=0, index=0),
+            run=1,
+            worker_id='w1',
+            incarnation=1,
+            checkpoint='',
+            ticket='',
+        )
+        self.state.apply(ttypes.WorkCommand(starts=[start]), NOW_MS)
+        self.assertTrue(self.session.is_current(start))
+        if values:
+            self.record(builders.worker('w1', **values))
+        return start
+
+    def record(self, worker: ttypes.WorkerRecord) -> None:
+        self.state.apply(ttypes.WorkCommand(workers=[worker]), NOW_MS)
+
+    def test_start_recorded_before_the_order(self) -> None:
+        start = self.recorded_start()
+        order(self.state, 'z2')
+        self.assertTrue(self.session.is_current(start))
+        order(self.state, 'z1')
+        self.assertFalse(self.session.is_current(start))
+        order(self.state, 'z1', end=True)
+        self.assertTrue(self.session.is_current(start))
+
+    def test_zone_that_becomes_known_late(self) -> None:
+        start = self.recorded_start(zone='')
+        order(self.state, 'z1')
+        self.assertTrue(self.session.is_current(start))
+        self.record(builders.worker('w1', zone='z1'))
+        self.assertFalse(self.session.is_current(start))
+
+    def test_worker_of_which_no_record_is_left(self) -> None:
+        # Guards against a start that reaches an evacuated zone while the
+        # record of its worker is being replaced.
+        start = self.recorded_start(zone='z2', incarnation=2)
+        order(self.state, 'z1')
+        self.assertFalse(self.session.is_current(start))
+        gone = builders.worker(
+            'w1', incarnation=2, state=ttypes.WorkerState.GONE
+        )
+        self.record(gone)
+        self.assertFalse(self.session.is_current(start))
+
+
+class _FakeLeadership:
+    """Applies commands to the state at once."""
+
+    session = None
+
+    def __init__(self, state: state_module.WorkState) -> None:
+        self._state = state
+
+    async def propose(self, command: ttypes.WorkCommand) -> object:
+        return self._state.apply(command, NOW_MS)
+
+
+class TestApi(testtools.TestCase):
+    """Orders for zones that do not exist are refused, ends never."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.state = builders.state(builders.worker('w1', zone='hall 4'))
+        self.replica = _FakeReplica()
+
+    def begin(self, zone: str, *, zones: tuple[str, ...] = ()) -> bool:
+        """Orders an evacuation; returns whether it is accepted."""
+        found = findings.Findings()
+        api = work_api.WorkApi(
+            self.replica,
+            self.state,
+            _FakeLeadership(self.state),
+            None,
+            zones=zones,
+        )
+        verdict = curio.run(api.begin_evacuation, zone, 'operator', found)
+        self.assertEqual(verdict is None, bool(found.found))
+        return verdict is Verdict.DONE
+
+    def test_any_name_without_the_setting(self) -> None:
+        for zone in ('z', 'Zone-1.a_b:c', 'z' * 253, 'hall 4'):
+            self.assertTrue(self.begin(zone), zone)
+        for zone in ('', 'z' * 254, 'a b', 'a/b', 'a\n', '\u00e4'):
+            self.assertFalse(self.begin(zone), zone)
+
+    def test_zones_of_the_setting_and_of_workers(self) -> None:
+        zones = ('z1', 'z2')
+        self.assertTrue(self.begin('z1', zones=zones))
+        self.assertTrue(self.begin('hall 4', zones=zones))
+        self.assertFalse(self.begin('z3', zones=zones))
+
+    def test_accepted_order_is_not_refused_later(self) -> None:
+        # Guards against a retry that is refused because the last worker of
+        # the zone has left since.
+        zones = ('z1',)
+        self.assertTrue(self.begin('hall 4', zones=zones))
+        gone = builders.worker('w1', state=ttypes.WorkerState.GONE)
+        self.state.apply(ttypes.WorkCommand(workers=[gone]), NOW_MS)
+        self.assertTrue(self.begin('hall 4', zones=zones))
+        order(self.state, 'hall 4', end=True)
+        self.assertFalse(self.begin('hall 4', zones=zones))
+
+    def test_member_that_does_not_lead(self) -> None:
+        # Its state may be old, so it must not judge the zone either.
+        self.replica.ready = False
+        self.assertRaises(
+            replication_errors.NotLeaderError,
+            self.begin,
+            'z3',
+            zones=('z1',),
+        )
--- a/banyantrack/workload/state.py
+++ b/banyantrack/workload/state.py
@@ -12,6 +12,7 @@
 from banyantrack.core import findings
 from banyantrack.generated.workload import ttypes
 from banyantrack.workload import crashes
+from banyantrack.workload import evacuations
 from banyantrack.workload import layout
 from banyantrack.workload import routing
 from banyantrack.workload import validation
@@ -64,6 +65,7 @@
         # in the order of their departure.
         self._departures: dict[str, int] = {}
         self._waves: dict[int, ttypes.Wave] = {}
+        self._evacuations = evacuations.EvacuationTable()
         self._generation = 0
 
     @property
@@ -91,6 +93,11 @@
         """Waves of upkeep by number."""
         return self._waves
 
+    @property
+    def evacuations(self) -> evacuations.EvacuationTable:
+        """Evacuations of availability zones."""
+        return self._evacuations
+
     @property
     def generation(self) -> int:
         """Counter that increases with each applied command or restore."""
@@ -132,7 +139,8 @@
                 since 1970.
 
         Returns:
-            A `JobAnswer` for a submission or cancellation, otherwise None.
+            A `JobAnswer` for a submission or cancellation, an
+            `evacuations.Verdict` for an evacuation, otherwise None.
         """
         self._generation += 1
         if command.config is not None:
@@ -141,6 +149,8 @@
             return self._submit(command.submit, now_ms)
         if command.cancel is not None:
             return self._cancel(command.cancel, now_ms)
+        if command.evacuation is not None:
+            return self._evacuations.apply(command.evacuation, now_ms)
         for worker in command.workers or ():
             self._apply_worker(worker)
         for end in command.ends or ():
@@ -165,14 +175,16 @@
                 ttypes.Departure(worker_id=worker_id, incarnation=incarnation)
                 for worker_id, incarnation in self._departures.items()
             ],
+            evacuations=self._evacuations.snapshot(),
         )
 
     def restore(self, snapshot: ttypes.WorkSnapshot | None) -> None:
         """Replaces the state; None empties it.
 
-        Crashes under unfinished tasks are kept if the snapshot comes from a
-        build that does not record them.
+        Crashes under unfinished tasks, and evacuations, are kept if the
+        snapshot comes from a build that does not record them.
         """
+        evacuations_before = self._evacuations
         crashes_before = {
             key: task.suspect_crashes
             for record in self._active.values()
@@ -192,6 +204,10 @@
             departure.worker_id: departure.incarnation
             for departure in snapshot.departures or ()
         }
+        if snapshot.evacuations is None:
+            self._evacuations = evacuations_before
+        else:
+            self._evacuations.restore(snapshot.evacuations)
         for record in snapshot.jobs:
             self._update_active(record)
             for key, task in layout.iter_tasks(record):
--- a/schema/settings.thrift
+++ b/schema/settings.thrift
@@ -92,6 +92,11 @@
   12: optional double upkeep_s (default = "2", min = "0", max = "86400")
   // Longest time that a serving task may be over its target.
   13: optional i32 interference_ms (default = "4000", min = "100", max = "600000")
+  // Availability zones that can be evacuated; any name if this is empty.
+  14: optional list<string> zones (form = "zone", min = "0", max = "1000")
+  // Time that runs in an evacuated zone are left before they are moved; 0 to
+  // leave them until they end.
+  15: optional i32 evacuation_grace_ms (default = "0", min = "0", max = "86400000")
 }
 
 // The platform's interface of an entry.
--- a/schema/workload.thrift
+++ b/schema/workload.thrift
@@ -112,6 +112,8 @@
   2: i64 sequence
   3: i64 clock_ms
   4: i64 remaining_ms
+  // Time until the worker runs at full speed.
+  5: optional i64 cold_remaining_ms
 }
 
 enum EndKind {
@@ -235,6 +237,24 @@
   2: string machine
 }
 
+// Order that no new runs start in an availability zone, or that ends it.
+struct EvacuationCommand {
+  1: string zone
+  // Who has given the order.
+  2: string requester
+  // Whether the order ends the evacuation.
+  3: bool end
+}
+
+struct Evacuation {
+  1: string zone
+  // When it was accepted, in milliseconds since 1970.
+  2: i64 accepted_ms
+  3: string requester
+  // When it ended; not set while it is in force.
+  4: optional i64 ended_ms
+}
+
 struct WorkCommand {
   1: optional WorkConfig config
   2: optional SubmitCommand submit
@@ -244,6 +264,7 @@
   6: optional list<WorkerRecord> workers
   7: optional Wave wave
   8: optional list<WaveBegun> begun
+  9: optional EvacuationCommand evacuation
 }
 
 // Incarnation of a worker that has said that it ends.
@@ -260,6 +281,8 @@
   // Whether the build that wrote this records crashes under tasks.
   5: optional bool records_crashes
   6: optional list<Departure> departures
+  // Not set by a build that does not record evacuations.
+  7: optional list<Evacuation> evacuations
 }
 
 enum JobOperation { SUBMIT = 1, READ = 2, CANCEL = 3, COUNT = 4 }
