--- a/banyantrack/daemons/control_platform.py
+++ b/banyantrack/daemons/control_platform.py
@@ -76,6 +76,7 @@
             self._leadership,
             pool,
             report_spread.ReportSpread(replica, state, options.leader_reports),
+            zones=options.zones,
         )
         self._server = control_server.ControlServer(options.address, self._api)
 
