Tests of evacuations on daemons and in virtual time

Change: fake executors have a zone and their observer reports a start 5 s after the acknowledgement. One whole evacuation runs on real daemons; six seeds combine evacuations with late orders, lapses and changes of the leader.

--- a/banyantrack/testing/fake_executor.py
+++ b/banyantrack/testing/fake_executor.py
@@ -48,6 +48,9 @@
 STARTS_AFTER_CRASHES = 2
 # Most ends that it lists in one answer.
 ENDS_PER_LIST = 500
+# Time after the acknowledgement of an evacuation from which no task starts in
+# the zone.
+EVACUATION_GRACE_S = 5.0
 # Time after which starts must respect a capacity that has shrunk.
 SHRINK_GRACE_S = 1.5
 
@@ -101,6 +104,8 @@
         crashes: Executors that each task has crashed.
         crash_victims: Tasks that were alive on an executor when another task
             crashed it, one entry a run.
+        evacuated_s: Monotonic time of the acknowledgement of each evacuation
+            in force, by zone; set and cleared by the test.
     """
 
     def __init__(self) -> None:
@@ -114,13 +119,20 @@
         self.failures: collections.Counter[str] = collections.Counter()
         self.crashes: collections.Counter[str] = collections.Counter()
         self.crash_victims: list[str] = []
+        self.evacuated_s: dict[str, float] = {}
         self._starts_after_crashes: collections.Counter[str] = (
             collections.Counter()
         )
         self._starts_at_end: dict[tuple[str, int], int] = {}
 
-    def started(self, executor: str, run: Run) -> None:
+    def started(self, executor: str, run: Run, zone: str) -> None:
         """Records a start."""
+        since_s = time.monotonic() - self.evacuated_s.get(zone, float('inf'))
+        if since_s > EVACUATION_GRACE_S:
+            self.broken.append(
+                f'{run.task} starts on {executor} in {zone}, evacuated for'
+                f' {since_s:.3f} s'
+            )
         live = self.live.setdefault(run.task, set())
         if live:
             self.broken.append(f'{run.task} twice: {live} and {executor}')
@@ -211,9 +223,12 @@
             from 0 to 1.
         capacity: Amounts by kind of resource.
         rack: Its rack.
+        zone: Its availability zone.
 
     Attributes:
         advertised: Address that it announces.
+        zone: Availability zone that it announces.
+        cold_remaining_ms: Time until it is warm, as it announces.
         state: State that it announces.
         usage: Reported tail response time in ms of serving tasks, and
             processors in use in thousandths of others, by task; 1000 without
@@ -234,8 +249,11 @@
         late: float = 0.0,
         capacity: dict[str, int] | None = None,
         rack: str = 'r1',
+        zone: str = 'z1',
     ) -> None:
         self.name = name
+        self.zone = zone
+        self.cold_remaining_ms = 0
         self.address = address
         self.advertised = address
         self.late = late
@@ -345,11 +363,11 @@
                 {
                     'service': self._pool,
                     'address': self.advertised,
-                    'zone': 'z1',
+                    'zone': self.zone,
                     'version': 'v1',
                     'slots': 8,
                     'state': self.state,
-                    'coldRemainingMs': 0,
+                    'coldRemainingMs': self.cold_remaining_ms,
                     'capacity': self._capacity,
                     'labels': ['a', self._rack],
                     'machine': f'm-{self.name}',
@@ -465,7 +483,7 @@
         self._highest_run[task] = number
         self.tickets[task] = body.get('ticket', '')
         self._runs[task] = run
-        self._observer.started(self.name, run)
+        self._observer.started(self.name, run, self.zone)
         for kind, limit in self._enforced_capacity().items():
             used = sum(r.resources.get(kind, 0) for r in self._runs.values())
             if used > limit:
--- a/banyantrack/testing/platform_system.py
+++ b/banyantrack/testing/platform_system.py
@@ -13,6 +13,7 @@
 import pathlib
 import random
 import re
+import time
 import typing
 
 import curio
@@ -75,6 +76,8 @@
         executors: Number of executors.
         seed: Seed of failures and late orders.
         late: Share of orders that executors carry out late, from 0 to 1.
+        zones: Availability zones of the executors, in turn.
+        replication: Settings of the replicated log.
     """
 
     def __init__(
@@ -85,6 +88,8 @@
         executors: int = 4,
         seed: int = 1,
         late: float = 0.0,
+        zones: collections.abc.Sequence[str] = ('z1',),
+        replication: dict[str, typing.Any] | None = None,
     ) -> None:
         ports = system.reserve_ports(7 + executors)
         (
@@ -115,6 +120,7 @@
                     'http_address': f'{host}:{http_port}',
                     'data_folder': str(folder / f'c{number + 1}'),
                     'tokens': tokens,
+                    'replication': replication or {},
                     'platform': {
                         'address': f'{host}:{platform_port}',
                         'seeds': self.seeds,
@@ -123,6 +129,7 @@
                         'advice_address': f'{subnet}.51:{policy_port}',
                         'machines_address': f'{subnet}.51:{machines_port}',
                         'upkeep_s': 0.5,
+                        'zones': list(zones),
                     },
                 },
             )
@@ -162,6 +169,7 @@
                 rng=self.rng,
                 late=late,
                 rack=f'r{1 + number % 2}',
+                zone=zones[number % len(zones)],
             )
             for number, port in enumerate(ports[7:])
         ]
@@ -268,6 +276,16 @@
             await curio.sleep(0.2)
         raise TimeoutError(f'{method} {path}: no final answer')
 
+    async def evacuate(self, zone: str, *, end: bool = False) -> int:
+        """Orders or ends an evacuation; returns the status code."""
+        method = 'DELETE' if end else 'POST'
+        if end:
+            self.observer.evacuated_s.pop(zone, None)
+        status, _ = await self.operator(method, f'/v1/evacuations/{zone}')
+        if status == 200 and not end:
+            self.observer.evacuated_s.setdefault(zone, time.monotonic())
+        return status
+
     async def put_config(self, config: typing.Any) -> int:
         """Sends a configuration; returns the status code."""
         return (await self.operator('PUT', '/v1/config', config))[0]
--- a/banyantrack/testing/work_simulation.py
+++ b/banyantrack/testing/work_simulation.py
@@ -11,6 +11,7 @@
 import enum
 import json
 import random
+import time
 import types
 import typing
 
@@ -116,6 +117,7 @@
         return builders.worker(
             self.name,
             state=states[self.state],
+            zone=self.zone,
             incarnation=self._incarnation,
             address=self.address,
             cpu_milli=self._capacity['cpu'],
@@ -343,6 +345,8 @@
         seed: Seed of all random choices.
         executors: Number of executors.
         capacity: Capacity of each executor; see `FakeExecutor`.
+        zones: Availability zones of the executors, in turn.
+        options: Settings of the platform.
 
     Attributes:
         rng: Source of random choices.
@@ -362,7 +366,10 @@
         seed: int = 1,
         executors: int = 2,
         capacity: dict[str, int] | None = None,
+        zones: collections.abc.Sequence[str] = ('z1',),
+        options: settings.ControlPlatformSettings = OPTIONS,
     ) -> None:
+        self._options = options
         self.rng = random.Random(seed)
         self.observer = fake_executor.Observer()
         self.executors = [
@@ -372,6 +379,7 @@
                 self.observer,
                 self.rng,
                 capacity=capacity,
+                zone=zones[number % len(zones)],
             )
             for number in range(executors)
         ]
@@ -447,7 +455,7 @@
             member,
             state,
             _PlatformClient(member, self),
-            OPTIONS,
+            self._options,
             propose,
             metrics.Metrics(),
         )
@@ -507,6 +515,17 @@
         """Records a worker, as after its report."""
         self.state.apply(ttypes.WorkCommand(workers=[worker]), clock.now_ms())
 
+    def evacuate(self, zone: str, *, end: bool = False) -> None:
+        """Accepts an order to evacuate a zone, or to end it."""
+        order = ttypes.EvacuationCommand(
+            zone=zone, requester='operator', end=end
+        )
+        self.state.apply(ttypes.WorkCommand(evacuation=order), clock.now_ms())
+        if end:
+            self.observer.evacuated_s.pop(zone, None)
+        else:
+            self.observer.evacuated_s.setdefault(zone, time.monotonic())
+
     def start_wave(self, machines: list[str]) -> None:
         """Starts a wave of upkeep, one machine at a time.
 
--- a/banyantrack/tests/test_evacuations.py
+++ b/banyantrack/tests/test_evacuations.py
@@ -14,11 +14,14 @@
 from banyantrack.generated.workload import ttypes
 from banyantrack.replication import errors as replication_errors
 from banyantrack.testing import work_builders as builders
+from banyantrack.testing import work_simulation as simulation
 from banyantrack.workload import evacuations
 from banyantrack.workload import state as state_module
 
 NOW_MS = builders.NOW_MS
+Fate = simulation.Fate
 Verdict = evacuations.Verdict
+START = '/v1/run-start'
 
 
 def order(
@@ -298,3 +301,124 @@
             'z3',
             zones=('z1',),
         )
+
+
+class TestLeaders(testtools.TestCase):
+    """Whoever leads enforces an order that was recorded."""
+
+    def test_start_that_is_recorded_but_not_sent(self) -> None:
+        # Guards against a start that the next leader repeats although the
+        # zone of its worker has been evacuated since it was recorded.
+        async def scenario(group: simulation.Group) -> None:
+            inside, outside = group.executors
+            await curio.sleep(1)
+            group.submit('a')
+            builders.start(group.state, builders.plan(group.state))
+            (run,) = group.state.all_live_runs()
+            evacuated, other = (
+                (inside, outside)
+                if run.task.worker_id == inside.name
+                else (outside, inside)
+            )
+            group.evacuate(evacuated.zone)
+            await group.elect()
+            await curio.sleep(5)
+            self.assertEqual([('a.0.0.0', 2)], group.observer.starts)
+            self.assertEqual({'completed': 1}, group.job_states())
+
+        simulation.run(scenario, zones=('z1', 'z2'))
+
+    def test_gang_of_which_one_member_is_withheld(self) -> None:
+        # Guards against a gang that waits for a member whose start was
+        # withheld, and against one that never starts again.
+        async def scenario(group: simulation.Group) -> None:
+            await curio.sleep(1)
+            group.submit('a', count=2, accelerators=8, gang=True)
+            builders.start(group.state, builders.plan(group.state))
+            group.evacuate('z1')
+            await group.elect()
+            await curio.sleep(5)
+            self.assertNotIn(('a.0.0.0', 2), group.observer.starts)
+            self.assertEqual([], group.state.all_live_runs())
+            group.evacuate('z1', end=True)
+            await curio.sleep(10)
+            self.assertEqual({'completed': 1}, group.job_states())
+
+        simulation.run(scenario, zones=('z1', 'z2'))
+
+    def test_start_without_an_answer(self) -> None:
+        # Guards against a start that was sent before the order, got no answer
+        # and is carried out long after it: a stop must be carried out first.
+        async def scenario(group: simulation.Group) -> None:
+            group.late_s = (6.0, 6.0)
+            group.fate = lambda executor, path: (
+                Fate.LATE
+                if path == START and executor.zone == 'z1'
+                else Fate.ANSWERED
+            )
+            group.submit('a', count=2, accelerators=8, work_ms=3000)
+            await curio.sleep(0.1)
+            group.evacuate('z1')
+            await curio.sleep(20)
+            self.assertEqual([], group.observer.broken)
+            self.assertEqual({'completed': 1}, group.job_states())
+
+        simulation.run(scenario, zones=('z1', 'z2'))
+
+
+class TestRandomEvacuations(testtools.TestCase):
+    """Evacuations beside late orders, cuts and changes of the leader."""
+
+    def play(self, seed: int) -> list[str]:
+        """Plays one seed; returns violated guarantees."""
+        broken: list[str] = []
+
+        async def scenario(group: simulation.Group) -> None:
+            rng = group.rng
+            late = rng.uniform(0.05, 0.3)
+            group.fate = lambda *_: (
+                rng.choice([Fate.LATE, Fate.ANSWER_LOST])
+                if rng.random() < late
+                else Fate.ANSWERED
+            )
+            for number in range(30):
+                gang = rng.random() < 0.3
+                group.submit(
+                    f'{number:016x}',
+                    count=rng.randint(1, 3),
+                    accelerators=rng.choice([1, 4, 8]),
+                    work_ms=rng.randint(200, 4000),
+                    queue=rng.choice(['urgent', 'usual', 'patient']),
+                    gang=gang,
+                )
+                await curio.sleep(rng.expovariate(2.0))
+                kind = rng.random()
+                if kind < 0.2:
+                    group.evacuate(rng.choice(['z1', 'z2']))
+                elif kind < 0.4:
+                    for zone in list(group.observer.evacuated_s):
+                        group.evacuate(zone, end=True)
+                elif kind < 0.6:
+                    await group.elect()
+                elif kind < 0.7:
+                    await group.lapse(rng.uniform(0.1, 2.0))
+                elif kind < 0.8:
+                    await group.restart(
+                        rng.choice(group.executors), rng.uniform(0.0, 2.0)
+                    )
+            group.fate = lambda *_: Fate.ANSWERED
+            for zone in list(group.observer.evacuated_s):
+                group.evacuate(zone, end=True)
+            await curio.sleep(120)
+            if group.job_states() != {'completed': 30}:
+                broken.append(str(group.job_states()))
+            broken.extend(group.observer.broken)
+
+        simulation.run(scenario, seed=seed, executors=4, zones=('z1', 'z2'))
+        return broken
+
+    def test_seeds(self) -> None:
+        broken = {
+            seed: found for seed in range(1, 7) if (found := self.play(seed))
+        }
+        self.assertEqual({}, broken)
--- a/banyantrack/tests/test_platform.py
+++ b/banyantrack/tests/test_platform.py
@@ -6,6 +6,7 @@
 import pathlib
 import re
 import tempfile
+import time
 import typing
 
 import curio
@@ -381,6 +382,106 @@
         self.run_with(scenario)
 
 
+class TestEvacuations(PlatformTest):
+    """No run starts in an evacuated zone, whatever becomes of control."""
+
+    def test_refused_orders_and_repeated_ones(self) -> None:
+        async def scenario(system: platform_system.PlatformSystem) -> None:
+            operator = system.operator
+            path = '/v1/evacuations/'
+            for method, zone, body, expected in (
+                ('POST', 'none', None, 400),
+                ('POST', '', None, 400),
+                ('POST', 'z' * 254, None, 400),
+                ('POST', 'z1', {}, 400),
+                ('DELETE', 'z1', b'x', 400),
+                ('PUT', 'z1', None, 405),
+                # An end without a begin changes nothing.
+                ('DELETE', 'z1', None, 200),
+                ('DELETE', 'none', None, 200),
+                ('POST', 'z1', None, 200),
+                ('POST', '%7a1', None, 200),
+                ('DELETE', 'z1', None, 200),
+                ('DELETE', 'z1', None, 200),
+            ):
+                status, answer = await operator(method, path + zone, body)
+                self.assertEqual(expected, status, (method, zone, answer))
+            redirected = 0
+            for address in system.seeds:
+                client = http_client.HttpClient(address)
+                answer = await client.request('POST', path + 'z1')
+                await client.close()
+                self.assertIn(answer.status, (200, 307))
+                redirected += answer.status == 307
+            self.assertEqual(2, redirected)
+
+        self.run_with(scenario, executors=0, zones=('z1', 'z2'))
+
+    def test_whole_evacuation(self) -> None:
+        # Guards against a run that starts in the zone because the next
+        # leader, a snapshot or a restart of all members lost the order. The
+        # observer reports each start in the zone 5 s after the
+        # acknowledgement.
+        async def scenario(system: platform_system.PlatformSystem) -> None:
+            inside = [e for e in system.executors if e.zone == 'z1']
+            lasting = 'a' * 16
+            step = {'count': 4, 'gpu': 4, 'estimatedMs': 150}
+            await system.submit(
+                'usual',
+                lasting,
+                {
+                    'count': 4,
+                    'gpu': 4,
+                    'longRunning': True,
+                    'antiAffinity': 1,
+                },
+                behaviour={'ms': 600_000, 'need': {'gpu': 4}},
+            )
+            await system.wait_state('usual', lasting, 'running')
+            jobs: list[str] = []
+
+            async def work(seconds: float) -> None:
+                end_s = time.monotonic() + seconds
+                while time.monotonic() < end_s:
+                    jobs.append(f'{len(jobs):016x}')
+                    await system.submit(
+                        'usual',
+                        jobs[-1],
+                        step,
+                        behaviour={'ms': 150, 'need': {'gpu': 4}},
+                    )
+                    await curio.sleep(0.2)
+
+            await work(0.5)
+            self.assertEqual(200, await system.evacuate('z1'))
+            system.leader().kill()
+            self.assertEqual(200, await system.evacuate('z1'))
+            await work(6.0)
+            # A power loss of all members.
+            for process in system.control:
+                process.kill()
+                process.settings['platform']['first_start'] = False
+                process.write()
+                process.start()
+            await work(6.0)
+            # It needs the executors of both zones.
+            whole = 'f' * 16
+            gang = {'count': 4, 'gpu': 4, 'gang': True, 'antiAffinity': 1}
+            behaviour = {'ms': 150, 'gang': 4, 'need': {'gpu': 4}}
+            await system.submit('usual', whole, gang, behaviour=behaviour)
+            for job in jobs:
+                await system.wait_state('usual', job, 'completed')
+            self.assertEqual('queued', await system.state('usual', whole))
+            # Runs in the zone go on.
+            self.assertTrue(any(executor.running for executor in inside))
+            self.assertEqual(200, await system.evacuate('z1', end=True))
+            await system.wait_state('usual', whole, 'completed')
+
+        self.run_with(
+            scenario, zones=('z1', 'z2'), replication={'snapshot_entries': 20}
+        )
+
+
 class TestExplaining(PlatformTest):
     """`explain` alone shows the cause of a failure, given the id of a job."""
 
