Move runs out of evacuated zones, use cold workers last

Cause: with `evacuation_grace_ms` an operator wants the zone to empty, and after the end its workers are slower for a time.

Change: workload/moves.py selects a tenth of a zone's runs at most, those that save progress first, only where other zones have free capacity, gangs whole and tasks with allowed absences only within them. The session stops them with the capacity that the round has left. `coldRemainingMs` reaches the leader in an optional field; cold workers of a zone whose evacuation has ended come after all warm ones. `guarantees.unproven_customers` names the customers whose guarantees need an evacuated zone.

--- a/banyantrack/daemons/work_session.py
+++ b/banyantrack/daemons/work_session.py
@@ -36,6 +36,7 @@
 from banyantrack.workload import durations as durations_module
 from banyantrack.workload import evacuation
 from banyantrack.workload import layout
+from banyantrack.workload import moves
 from banyantrack.workload import pacing
 from banyantrack.workload import planner as planner_module
 from banyantrack.workload import preemption
@@ -73,6 +74,8 @@
 SLOW_PENALTY = 3.0
 # Penalty of a machine that was silent recently, in failed runs.
 SILENT_PENALTY = 1.0
+# Penalty of a cold worker, in failed runs: it is used after all warm ones.
+COLD_PENALTY = 1000.0
 # Losses of workers are kept for this long after their first sign; their runs
 # have been recorded as lost long before.
 LOSS_RETENTION_S = 60.0
@@ -187,6 +190,9 @@
         self._silent_at_s: dict[str, float] = {}
         # Steady time until which a draining worker stays, by worker id.
         self._leaves_at_s: dict[str, float] = {}
+        # Steady time until which a worker is cold, by worker id. Learned from
+        # reports only, so a new leader knows it after the next report.
+        self._cold_until_s: dict[str, float] = {}
         self._progress_percent: dict[layout.TaskId, int] = {}
         self._checkpoints: dict[layout.TaskId, str] = {}
         self._last_waiting: dict[layout.GroupKey, planner_module.Waiting] = {}
@@ -464,7 +470,7 @@
             logs.event(_LOG, 'work_ended', term=self._term)
 
     def note_report(self, report: ttypes.WorkerReport) -> None:
-        """Notes when a worker that drains leaves.
+        """Notes when a worker that drains leaves, and until when it is cold.
 
         The clock in a report is not used: reports may come from another
         writer, and a clock that is ahead would end leases too soon here.
@@ -473,6 +479,12 @@
             self._leaves_at_s[report.worker.worker_id] = (
                 clock.steady_s() + report.remaining_ms / 1000
             )
+        if report.cold_remaining_ms:
+            self._cold_until_s[report.worker.worker_id] = (
+                clock.steady_s() + report.cold_remaining_ms / 1000
+            )
+        else:
+            self._cold_until_s.pop(report.worker.worker_id, None)
 
     async def _follow_workers(self) -> None:
         """Opens and closes links as workers change; records lost runs."""
@@ -487,6 +499,7 @@
             self._note_loss(link)
             self._note_misrouted_runs(link)
             self._leaves_at_s.pop(worker_id, None)
+            self._cold_until_s.pop(worker_id, None)
             await link.close()
             del self._links[worker_id]
         for worker in list(self._state.workers.values()):
@@ -788,8 +801,17 @@
             penalty += SILENT_PENALTY
         if self._progress.is_slow(worker.worker_id, now_s):
             penalty += SLOW_PENALTY
+        if self._is_cold(worker, now_s):
+            penalty += COLD_PENALTY
         return penalty
 
+    def _is_cold(self, worker: ttypes.WorkerRecord, now_s: float) -> bool:
+        """Whether a worker of a zone that was evacuated is not warm yet."""
+        return (
+            self._cold_until_s.get(worker.worker_id, 0.0) > now_s
+            and worker.zone in self._state.evacuations.ended
+        )
+
     def _remaining_ms(self, run: capacity.RunAllocation) -> float | None:
         return self._progress.remaining_ms(
             run.task.worker_id,
@@ -830,6 +852,7 @@
             approvals=self._advisor.approvals,
         )
         self._log_waiting(plan.waiting)
+        await self._move_out_of_zones(fleet, stopping)
         for group, workers in plan.advice_wanted.items():
             await self._advisor.ask(group, workers)
         for worker_id in plan.checks:
@@ -842,6 +865,38 @@
         if plan.starts:
             await self._start(plan.starts)
 
+    async def _move_out_of_zones(
+        self,
+        fleet: capacity.Fleet,
+        stopping: collections.abc.Container[layout.RunId],
+    ) -> None:
+        """Stops runs in zones whose evacuation has lasted for the grace.
+
+        Args:
+            fleet: Workers, with the capacity that the round has left free.
+            stopping: Runs that are being stopped.
+        """
+        in_force = self._state.evacuations.in_force
+        grace_ms = self._options.evacuation_grace_ms
+        if not in_force or not grace_ms:
+            return
+        now_ms = clock.now_ms()
+        zones = {
+            zone
+            for zone, evacuation in in_force.items()
+            if now_ms - evacuation.accepted_ms >= grace_ms
+        }
+        for run in moves.select_moves(
+            fleet,
+            zones,
+            stopping=stopping,
+            count_absent=self._unready_members,
+        ):
+            await self._stop(
+                run.key, run.task.run, run.task.worker_id, 'zone evacuated'
+            )
+            self._metrics.counter('banyan_runs_moved').add()
+
     async def _evacuate(self, fleet: capacity.Fleet) -> None:
         """Stops runs that cannot end before their worker leaves."""
         now_s = clock.steady_s()
--- a/banyantrack/platform/reports.py
+++ b/banyantrack/platform/reports.py
@@ -52,7 +52,6 @@
     # These are not used, but one of another type comes from another writer.
     fields.text('version')
     fields.integer('slots')
-    fields.integer('coldRemainingMs')
     capacity = fields.object('capacity')
     worker = ttypes.WorkerRecord(
         worker_id=worker_id,
@@ -75,6 +74,7 @@
         sequence=fields.integer('sequence', required=True),
         clock_ms=fields.integer('clockMs'),
         remaining_ms=fields.integer('remainingMs'),
+        cold_remaining_ms=fields.integer('coldRemainingMs'),
     )
     return None if found.found else report
 
--- a/banyantrack/testing/work_simulation.py
+++ b/banyantrack/testing/work_simulation.py
@@ -565,6 +565,7 @@
             sequence=self._sequence,
             clock_ms=clock_ms,
             remaining_ms=0,
+            cold_remaining_ms=executor.cold_remaining_ms,
         )
         await self._api.report(report, findings.Findings())
 
--- a/banyantrack/tests/test_evacuations.py
+++ b/banyantrack/tests/test_evacuations.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import copy
+
 import curio
 import testtools
 
@@ -12,10 +14,15 @@
 from banyantrack.daemons import work_session
 from banyantrack.generated.settings import ttypes as settings
 from banyantrack.generated.workload import ttypes
+from banyantrack.platform import reports
+from banyantrack.platform import wire
 from banyantrack.replication import errors as replication_errors
 from banyantrack.testing import work_builders as builders
 from banyantrack.testing import work_simulation as simulation
 from banyantrack.workload import evacuations
+from banyantrack.workload import guarantees
+from banyantrack.workload import layout
+from banyantrack.workload import moves
 from banyantrack.workload import state as state_module
 
 NOW_MS = builders.NOW_MS
@@ -303,6 +310,228 @@
         )
 
 
+class TestMoves(testtools.TestCase):
+    """Runs are moved a tenth at a time, and only to capacity elsewhere."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.state = builders.state(
+            *(builders.worker(f'w{number}') for number in range(4))
+        )
+
+    def run_job(self, name: str, *steps: ttypes.Step) -> None:
+        """Starts a job in zone `z1`, the only one with workers so far."""
+        builders.submit(self.state, builders.job(name, *steps))
+        planned = builders.plan(self.state)
+        self.assertEqual(sum(s.count for s in steps), len(planned.starts))
+        builders.start(self.state, planned)
+
+    def add_workers(self, count: int, **values: object) -> None:
+        """Adds workers in zone `z2`."""
+        added = [
+            builders.worker(f'other{number}', zone='z2', **values)
+            for number in range(count)
+        ]
+        self.state.apply(ttypes.WorkCommand(workers=added), NOW_MS)
+
+    def moved(
+        self, *, stopping: set[layout.RunId] = frozenset(), absent: int = 0
+    ) -> list[layout.RunId]:
+        """Returns the runs that are moved out of `z1`."""
+        fleet = builders.fleet(self.state, stopping=stopping)
+        for worker in fleet:
+            worker.usable = worker.record.zone != 'z1'
+        return [
+            layout.RunId(run.key, run.task.run)
+            for run in moves.select_moves(
+                fleet,
+                {'z1'},
+                stopping=stopping,
+                count_absent=lambda _: absent,
+            )
+        ]
+
+    def moved_jobs(self, **values: object) -> list[str]:
+        return [run.task.job_id for run in self.moved(**values)]
+
+    def test_tenth_of_the_runs_that_save_progress_first(self) -> None:
+        self.add_workers(4, accelerators=0)
+        self.run_job('a', builders.step(count=16))
+        self.run_job('b', builders.step(count=14, checkpointable=True))
+        self.assertEqual([], self.moved())
+        self.add_workers(4)
+        moved = self.moved()
+        self.assertEqual(['b'] * 3, [run.task.job_id for run in moved])
+        # Those that are being stopped count as well.
+        self.assertEqual(['b'], self.moved_jobs(stopping=set(moved[:2])))
+        self.assertEqual([], self.moved(stopping=set(moved)))
+
+    def test_capacity_elsewhere_bounds_the_moves(self) -> None:
+        # Guards against runs that are stopped and then wait.
+        self.add_workers(1, accelerators=0)
+        self.run_job('a', builders.step(count=30))
+        self.add_workers(1, accelerators=2)
+        moved = self.moved()
+        self.assertEqual(2, len(moved))
+        # A run that is being stopped has not taken its new capacity yet.
+        self.assertEqual(1, len(self.moved(stopping=set(moved[:1]))))
+
+    def test_gang_moves_as_a_whole(self) -> None:
+        # Guards against a gang that is broken because its other members had
+        # no capacity elsewhere, or do not count towards the limit.
+        gang = builders.step(count=3, accelerators=8, gang=True)
+        self.add_workers(2, accelerators=0)
+        self.run_job('a', gang)
+        self.add_workers(2)
+        self.assertEqual([], self.moved())
+        self.add_workers(3)
+        self.assertEqual(['a'] * 3, self.moved_jobs())
+
+    def test_tasks_with_allowed_absences(self) -> None:
+        # Guards against more tasks away at once than their step allows.
+        step = builders.step(
+            count=30, long_running=True, may_miss=2, checkpointable=True
+        )
+        self.add_workers(1, accelerators=0)
+        self.run_job('a', step)
+        self.add_workers(4)
+        self.assertEqual(2, len(self.moved()))
+        self.assertEqual(1, len(self.moved(absent=1)))
+        self.assertEqual([], self.moved(absent=2))
+        (first, _) = self.moved()
+        self.assertEqual(1, len(self.moved(stopping={first})))
+
+    def test_label_and_limit_of_a_worker(self) -> None:
+        self.add_workers(2, accelerators=0, labels=['b', 'r1'])
+        self.run_job(
+            'a', builders.step(required_label='a', checkpointable=True)
+        )
+        self.add_workers(2, labels=['b', 'r1'])
+        self.assertEqual([], self.moved())
+        self.add_workers(1)
+        self.assertEqual(['a'], self.moved_jobs())
+
+    def test_runs_end_in_a_zone_without_a_grace(self) -> None:
+        async def scenario(group: simulation.Group) -> None:
+            group.submit('a', count=2, accelerators=8, work_ms=20_000)
+            await curio.sleep(0.5)
+            group.evacuate('z1')
+            await curio.sleep(30)
+            self.assertEqual(2, len(group.observer.starts))
+            self.assertEqual({'completed': 1}, group.job_states())
+
+        simulation.run(scenario, zones=('z1', 'z2'))
+
+    def test_runs_are_moved_after_the_grace(self) -> None:
+        # Guards against a zone that never empties.
+        async def scenario(group: simulation.Group) -> None:
+            for job_id in 'ab':
+                group.submit(
+                    job_id,
+                    count=2,
+                    accelerators=2,
+                    work_ms=60_000,
+                    max_per_worker=1,
+                    checkpointable=job_id == 'a',
+                )
+            await curio.sleep(0.5)
+            inside = group.executors[0]
+            self.assertEqual(2, len(inside.running))
+            group.evacuate('z1')
+            await curio.sleep(2.5)
+            self.assertEqual(2, len(inside.running))
+            await curio.sleep(0.7)
+            self.assertEqual([], inside.running)
+            self.assertEqual([], group.observer.broken)
+
+        options = copy.copy(simulation.OPTIONS)
+        options.evacuation_grace_ms = 3000
+        simulation.run(
+            scenario, executors=3, zones=('z1', 'z2', 'z3'), options=options
+        )
+
+
+class TestColdWorkers(testtools.TestCase):
+    """After the end of an evacuation, cold workers are used last."""
+
+    def test_order_of_use(self) -> None:
+        async def scenario(group: simulation.Group) -> None:
+            cold, warm = group.executors
+            for ended in (False, True):
+                if ended:
+                    group.evacuate('z1')
+                    group.evacuate('z1', end=True)
+                cold.cold_remaining_ms = 4000
+                await group.report(cold, clock_ms=0)
+                # It fits best on the cold worker, which runs a task already.
+                job = f'{ended}'
+                group.submit(job, accelerators=1, work_ms=100)
+                await curio.sleep(0.5)
+                self.assertEqual(2 + ended, len(group.observer.starts))
+                self.assertEqual(ended, job in self.jobs_on(group, warm))
+            await curio.sleep(4.0)
+            group.submit('c', accelerators=1, work_ms=100)
+            await curio.sleep(0.5)
+            self.assertIn('c', self.jobs_on(group, cold))
+
+        async def prepare(group: simulation.Group) -> None:
+            group.submit('filling', accelerators=4, work_ms=60_000)
+            await curio.sleep(0.5)
+            if not group.executors[0].running:
+                group.executors.reverse()
+            cold = group.executors[0]
+            self.assertTrue(cold.running)
+            for executor, zone in zip(
+                group.executors, ('z1', 'z2'), strict=True
+            ):
+                executor.zone = zone
+                group.record(executor.record)
+            await scenario(group)
+
+        simulation.run(prepare)
+
+    def jobs_on(
+        self, group: simulation.Group, executor: simulation.Executor
+    ) -> set[str]:
+        """Returns the jobs of which an executor has started tasks."""
+        return {task.partition('.')[0] for task in executor.tickets}
+
+    def test_report(self) -> None:
+        body = {
+            'service': 'line',
+            'address': '10.0.0.1:80',
+            'zone': 'z1',
+            'state': 'ready',
+            'capacity': {'cpu': 1000, 'memMb': 1000, 'gpu': 8},
+            'sequence': 4,
+            'coldRemainingMs': 900,
+        }
+        found = findings.Findings()
+        report = reports.parse_report('i-1', wire.encode(body), found)
+        self.assertEqual(900, report.cold_remaining_ms)
+
+
+class TestGuarantees(testtools.TestCase):
+    """Guarantees that need an evacuated zone are named."""
+
+    def test_customers(self) -> None:
+        # Both guarantees together need 32 accelerators.
+        state = builders.state(
+            *(builders.worker(f'a{n}') for n in range(2)),
+            *(builders.worker(f'b{n}', zone='z2') for n in range(2)),
+            *(builders.worker(f'c{n}', zone='z3') for n in range(2)),
+        )
+        self.assertEqual([], guarantees.unproven_customers(state))
+        order(state, 'z1')
+        self.assertEqual([], guarantees.unproven_customers(state))
+        order(state, 'z2')
+        self.assertEqual(
+            ['growers', 'pickers'], guarantees.unproven_customers(state)
+        )
+        order(state, 'z1', end=True)
+        self.assertEqual([], guarantees.unproven_customers(state))
+
+
 class TestLeaders(testtools.TestCase):
     """Whoever leads enforces an order that was recorded."""
 
