Evacuations in the operators' API and the command line

Cause: operators without the platform's interface need the orders too, and must see what is evacuated, by whom, what still runs there and which customers' guarantees need the zone.

Change: `PUT` and `DELETE /v1/evacuations/ZONE`, `GET /v1/evacuations`, the commands `banyan evacuate ZONE [--end]` and `banyan get evacuations`, and lines in `banyan status`. Both interfaces share daemons/evacuation_orders.py. The requester is the name of the token.

--- a/banyantrack/cli/operator.py
+++ b/banyantrack/cli/operator.py
@@ -93,7 +93,9 @@
         help='YAML or JSON documents; - for standard input',
     )
     get = commands.add_parser('get', help='show objects')
-    get.add_argument('kind', choices=sorted(objects.KIND_BY_PLURAL))
+    get.add_argument(
+        'kind', choices=sorted((*objects.KIND_BY_PLURAL, 'evacuations'))
+    )
     get.add_argument('name', nargs='?')
     get.add_argument(
         '-o', '--output', choices=('table', 'json', 'yaml'), default='table'
@@ -130,6 +132,13 @@
     rollout.add_argument(
         '--wait', type=int, metavar='REV', help='wait until all have it'
     )
+    evacuate = commands.add_parser(
+        'evacuate', help='start nothing new in an availability zone'
+    )
+    evacuate.add_argument('zone', metavar='ZONE')
+    evacuate.add_argument(
+        '--end', action='store_true', help='end the evacuation'
+    )
     members = commands.add_parser(
         'members', help='show or change the control group'
     )
@@ -291,6 +300,10 @@
     client: client_module.OperatorClient, options: argparse.Namespace
 ) -> int:
     target = f'/v1/{options.kind}'
+    if options.kind == 'evacuations' and options.name:
+        raise findings.FindingsError.of(
+            'get', [findings.Finding('name', 'valid is none for evacuations')]
+        )
     if options.name:
         target = _path(options.kind, options.name)
     document = _call(client, 'GET', target).document
@@ -457,6 +470,22 @@
         time.sleep(POLL_INTERVAL_S / 5)
 
 
+@COMMANDS.register('evacuate')
+def _evacuate(
+    client: client_module.OperatorClient, options: argparse.Namespace
+) -> int:
+    path = _path('evacuations', options.zone)
+    if options.end:
+        _call(client, 'DELETE', path)
+        print(f'zone {options.zone}: evacuation ended')
+        return Exit.DONE
+    document = _call(client, 'PUT', path).document
+    print(f'zone {options.zone} evacuated, {document["runs"]} runs remain')
+    for line in tables.affected_customers(document):
+        print(line)
+    return Exit.DONE
+
+
 @COMMANDS.register('members')
 def _members(
     client: client_module.OperatorClient, options: argparse.Namespace
--- a/banyantrack/cli/tables.py
+++ b/banyantrack/cli/tables.py
@@ -158,6 +158,33 @@
     return render(('NAME', 'ZONE', 'RACK', 'FREE', 'STATE', 'LABELS'), rows)
 
 
+def _evacuations(items: list[Document]) -> str:
+    return render(
+        ('ZONE', 'AGE', 'REQUESTER', 'RUNS'),
+        [
+            (
+                item['zone'],
+                age(item['accepted_ms']),
+                item['requester'],
+                item['runs'],
+            )
+            for item in items
+        ],
+    )
+
+
+def affected_customers(document: Document) -> list[str]:
+    """Returns a line for each customer that evacuations affect.
+
+    Args:
+        document: Document with the member `affected_customers`.
+    """
+    return [
+        f'GUARANTEES of {customer}: cannot be kept without evacuated zones'
+        for customer in document['affected_customers']
+    ]
+
+
 def label_text(labels: dict[str, str]) -> str:
     """Returns labels as key=value pairs, or `-` if there are none."""
     pairs = [f'{key}={value}' for key, value in sorted(labels.items())]
@@ -172,6 +199,7 @@
     'worker-labels': _labels,
     'backend-labels': _labels,
     'workers': _workers,
+    'evacuations': _evacuations,
 }
 
 
@@ -237,6 +265,15 @@
         lines.append(
             f'GUARANTEE {name}: {count} shapes have no workers to reclaim'
         )
+    # Servers of release 0.1 do not list evacuations.
+    evacuated = document.get('evacuations')
+    if evacuated and evacuated['items']:
+        zones = ', '.join(
+            f'{item["zone"]} ({item["runs"]} runs)'
+            for item in evacuated['items']
+        )
+        lines.append(f'EVACUATED     {zones}')
+        lines += affected_customers(evacuated)
     lines += ['', members(document['control'])]
     lines += ['', rollout(document['rollout'])]
     return '\n'.join(lines)
--- a/banyantrack/core/auth.py
+++ b/banyantrack/core/auth.py
@@ -44,18 +44,32 @@
         Args:
             authorization: Value of the `Authorization` header, or ''.
         """
+        token = self._find(authorization)
         if not self._tokens:
             return TokenRole.OPERATOR
+        return None if token is None else TokenRole(token.role)
+
+    def name(self, authorization: str) -> str:
+        """Returns the name of a caller's token; empty if it has none.
+
+        Args:
+            authorization: Value of the `Authorization` header, or ''.
+        """
+        token = self._find(authorization)
+        return '' if token is None else token.name
+
+    def _find(self, authorization: str) -> settings.Token | None:
+        """Returns the token in an `Authorization` header, or None."""
         text = ''
         if authorization.lower().startswith(_SCHEME):
             text = authorization[len(_SCHEME) :].strip()
         digest = hashlib.sha256(text.encode()).hexdigest()
-        role = None
+        found = None
         for token in self._tokens:
             # Compares all tokens, so that the duration reveals no match.
             if hmac.compare_digest(token.sha256, digest):
-                role = TokenRole(token.role)
-        return role
+                found = token
+        return found
 
     def allows(self, authorization: str, method: str, path: str) -> bool:
         """Whether a caller may make a request.
--- a/banyantrack/daemons/control.py
+++ b/banyantrack/daemons/control.py
@@ -15,11 +15,13 @@
 from banyantrack.core import metrics as metrics_module
 from banyantrack.core import settings as settings_module
 from banyantrack.daemons import control_platform
+from banyantrack.daemons import evacuation_orders
 from banyantrack.daemons import leadership
 from banyantrack.daemons import operator_api
 from banyantrack.daemons import rollout as rollout_module
 from banyantrack.daemons import worker_api
 from banyantrack.generated.cluster import ttypes as cluster
+from banyantrack.generated.intent import ttypes as intent
 from banyantrack.generated.replication import ttypes as replication
 from banyantrack.intent import state as state_module
 from banyantrack.membership import locator as locator_module
@@ -34,8 +36,12 @@
 from banyantrack.transport import problems
 from banyantrack.transport import rpc
 
+# Registers the routes of evacuations.
+from banyantrack.daemons import evacuation_routes  # noqa: F401  isort: skip
+
 if typing.TYPE_CHECKING:
     from banyantrack.generated.settings import ttypes as settings_types
+    from banyantrack.generated.workload import ttypes as workload
 
 HAND_OVER_TIMEOUT_S = 2.0
 STOP_GRACE_S = 1.0
@@ -111,8 +117,20 @@
         )
         self._rollout = rollout_module.Rollout(self._replica, self._state)
         self._workers = worker_api.WorkerApi(self._replica, self._placement)
+        platform = settings.platform
         self._operators = operator_api.OperatorApi(
-            self._replica, self._state, self._placement, self._rollout
+            self._replica,
+            self._state,
+            self._placement,
+            self._rollout,
+            evacuation_orders.EvacuationOrders(
+                self._replica,
+                self._state.work,
+                self._propose_work,
+                zones=platform.zones if platform is not None else (),
+                other_zones=self._worker_zones,
+            ),
+            self._auth.name,
         )
         self._platform: control_platform.ControlPlatform | None = None
         if settings.platform is not None:
@@ -235,6 +253,18 @@
         self._metrics.gauge('banyan_jobs', lambda: len(self._state.jobs))
         self._metrics.gauge('banyan_claims', lambda: len(self._state.claims))
 
+    async def _propose_work(self, command: workload.WorkCommand) -> typing.Any:
+        return await self._placement.propose(
+            intent.Command(now_ms=leadership.now_ms(), work=command)
+        )
+
+    def _worker_zones(self) -> set[str]:
+        """Returns the zones of workers that report to this API."""
+        return {
+            stored.worker.zone
+            for stored in self._state.of_kind(intent.ObjectKind.WORKER)
+        }
+
     # RPC from entries.
 
     async def _command(
--- a/banyantrack/daemons/operator_api.py
+++ b/banyantrack/daemons/operator_api.py
@@ -28,6 +28,7 @@
 if typing.TYPE_CHECKING:
     import collections.abc
 
+    from banyantrack.daemons import evacuation_orders
     from banyantrack.daemons import rollout as rollout_module
     from banyantrack.replication import replica as replica_module
 
@@ -58,6 +59,8 @@
     ('rollout', re.compile(r'/v1/rollout')),
     ('watch', re.compile(r'/v1/watch')),
     ('members', re.compile(r'/v1/members')),
+    ('evacuations', re.compile(r'/v1/evacuations')),
+    ('evacuation', re.compile(r'/v1/evacuations/(?P<zone>[^/]+)')),
 ]
 
 
@@ -79,6 +82,9 @@
         state: The replicated state.
         placement: Placement while this member leads.
         rollout: Configuration revision of each entry.
+        evacuations: Orders to evacuate availability zones.
+        name_of: Returns the name of the token in an `Authorization` header;
+            empty if there is none.
     """
 
     def __init__(
@@ -87,7 +93,11 @@
         state: state_module.IntentState,
         placement: leadership.PlacementLeadership,
         rollout: rollout_module.Rollout,
+        evacuations: evacuation_orders.EvacuationOrders,
+        name_of: collections.abc.Callable[[str], str],
     ) -> None:
+        self.evacuations = evacuations
+        self.name_of = name_of
         self.replica = replica
         self.state = state
         self.placement = placement
@@ -216,12 +226,13 @@
     return digest.hexdigest()
 
 
-def _json(
+def json_reply(
     status: int,
     document: object,
     *,
     headers: dict[str, str] | None = None,
 ) -> cluster.OperatorReply:
+    """Returns a reply to an operator that holds a document."""
     return cluster.OperatorReply(
         status=status,
         headers={
@@ -274,7 +285,7 @@
     headers = {'idempotency-replayed': 'true'} if result.replayed else {}
     match result.verdict:
         case Verdict.APPLIED:
-            return _json(
+            return json_reply(
                 201 if created else 200,
                 document | {'revision': result.revision},
                 headers=headers | _etag(result.revision),
@@ -330,7 +341,7 @@
             api.state.of_kind(kind.number), key=lambda stored: stored.name
         )
     ]
-    return _json(
+    return json_reply(
         200,
         {'revision': api.state.revision, 'items': listed},
         headers=_etag(api.state.revision),
@@ -349,11 +360,11 @@
     if stored is None:
         deleted = views.deleted_job_view(api, kind, parameters['name'])
         if deleted is not None:
-            return _json(200, deleted)
+            return json_reply(200, deleted)
         return problems.reply(
             404, f'there is no {kind.plural}/{parameters["name"]}'
         )
-    return _json(
+    return json_reply(
         200, views.object_view(api, stored), headers=_etag(stored.revision)
     )
 
@@ -490,7 +501,7 @@
     parameters: dict[str, str],
 ) -> cluster.OperatorReply:
     await api.ensure_current_state()
-    return _json(200, views.status_view(api))
+    return json_reply(200, views.status_view(api))
 
 
 @ROUTES.register('GET rollout')
@@ -500,7 +511,7 @@
     parameters: dict[str, str],
 ) -> cluster.OperatorReply:
     await api.ensure_current_state()
-    return _json(200, views.rollout_view(api))
+    return json_reply(200, views.rollout_view(api))
 
 
 @ROUTES.register('GET watch')
@@ -531,7 +542,7 @@
         raise api.replica.not_leader_error()
     listed = [objects.to_document(stored) for stored in changes]
     newest = changes[-1].revision if changes else revision
-    return _json(200, {'revision': newest, 'changes': listed})
+    return json_reply(200, {'revision': newest, 'changes': listed})
 
 
 @ROUTES.register('GET members')
@@ -541,7 +552,7 @@
     parameters: dict[str, str],
 ) -> cluster.OperatorReply:
     await api.ensure_current_state()
-    return _json(200, views.members_view(api))
+    return json_reply(200, views.members_view(api))
 
 
 @ROUTES.register('POST members')
@@ -566,4 +577,4 @@
     else:
         await api.replica.change_voters(add=add, remove=remove)
     logs.event(_LOG, 'members_changed', added=add, removed=remove)
-    return _json(200, views.members_view(api))
+    return json_reply(200, views.members_view(api))
--- a/banyantrack/daemons/views.py
+++ b/banyantrack/daemons/views.py
@@ -8,6 +8,7 @@
 from banyantrack.generated.intent import ttypes as intent
 from banyantrack.intent import objects
 from banyantrack.replication import quorum
+from banyantrack.workload import guarantees
 
 if typing.TYPE_CHECKING:
     from banyantrack.daemons import operator_api
@@ -184,6 +185,7 @@
         'rollout': rollout_view(api),
         'jobs': dict(phases),
         'claims': len(api.state.claims),
+        'evacuations': evacuations_view(api),
     }
     session = api.placement.session
     if session is not None:
@@ -191,6 +193,58 @@
     return view
 
 
+def evacuations_view(
+    api: operator_api.OperatorApi,
+) -> dict[str, typing.Any]:
+    """Returns the evacuations in force and the customers they affect."""
+    in_force = api.state.work.evacuations.in_force
+    runs = _runs_by_zone(api) if in_force else {}
+    return {
+        'items': [
+            {
+                'zone': evacuation.zone,
+                'accepted_ms': evacuation.accepted_ms,
+                'requester': evacuation.requester,
+                'runs': runs.get(evacuation.zone, 0),
+            }
+            for evacuation in in_force.values()
+        ],
+        'affected_customers': _affected_customers(api) if in_force else [],
+    }
+
+
+def _runs_by_zone(api: operator_api.OperatorApi) -> dict[str, int]:
+    """Returns the runs of tasks and the members of gangs in each zone."""
+    runs: collections.Counter[str] = collections.Counter()
+    workers = api.state.work.workers
+    for _, _, task in api.state.work.all_live_runs():
+        worker = workers.get(task.worker_id)
+        if worker is not None:
+            runs[worker.zone] += 1
+    zones = {
+        stored.name: stored.worker.zone
+        for stored in api.state.of_kind(Kind.WORKER)
+    }
+    for status in api.state.jobs:
+        if status.phase == Phase.PLACED:
+            for name in api.state.worker_names(status):
+                runs[zones.get(name, '')] += 1
+    return runs
+
+
+def _affected_customers(api: operator_api.OperatorApi) -> list[str]:
+    """Returns customers with guarantees that need an evacuated zone."""
+    customers = set(guarantees.unproven_customers(api.state.work))
+    session = api.placement.session
+    if session is not None:
+        session.refresh()
+        for name in session.scheduler.infeasible_shapes():
+            stored = api.state.get(Kind.GUARANTEE, name)
+            if stored is not None:
+                customers.add(stored.guarantee.customer)
+    return sorted(customers)
+
+
 def _fleet_view(session: typing.Any) -> dict[str, object]:
     ledger = session.scheduler.ledger
     fleet = ledger.fleet
--- a/banyantrack/daemons/work_api.py
+++ b/banyantrack/daemons/work_api.py
@@ -10,12 +10,12 @@
 from banyantrack.core import clock
 from banyantrack.core import findings
 from banyantrack.core import logs
+from banyantrack.daemons import evacuation_orders
 from banyantrack.generated.cluster import ttypes as cluster
 from banyantrack.generated.workload import ttypes
 from banyantrack.replication import errors as replication_errors
 from banyantrack.replication import quorum
 from banyantrack.transport import rpc
-from banyantrack.workload import evacuations
 from banyantrack.workload import state as state_module
 from banyantrack.workload import validation
 
@@ -67,7 +67,9 @@
         self._state = state
         self._leadership = leadership
         self._pool = pool
-        self._zones = zones
+        self._evacuations = evacuation_orders.EvacuationOrders(
+            replica, state, leadership.propose, zones=zones
+        )
         # Incarnation and sequence of the last report, by worker id.
         self._last_reports: dict[str, tuple[int, int]] = {}
 
@@ -76,6 +78,11 @@
         """The member."""
         return self._replica
 
+    @property
+    def evacuations(self) -> evacuation_orders.EvacuationOrders:
+        """Orders to evacuate availability zones."""
+        return self._evacuations
+
     # Customers' calls, from entries.
 
     async def job_call(self, call: ttypes.JobCall) -> ttypes.JobAnswer:
@@ -260,82 +267,6 @@
             at_once=wave.at_once,
         )
 
-    async def begin_evacuation(
-        self, zone: str, requester: str, found: findings.Findings
-    ) -> evacuations.Verdict | None:
-        """Orders that no new runs start on the workers of a zone; idempotent.
-
-        Args:
-            zone: The zone.
-            requester: Who gives the order.
-            found: Receives a finding if there is no such zone.
-
-        Returns:
-            The outcome; None if there is no such zone.
-
-        Raises:
-            ReplicationError: If it is not committed.
-        """
-        if not self._replica.ready:
-            raise self._replica.not_leader_error()
-        known = {worker.zone for worker in self._state.workers.values()}
-        known |= self._state.evacuations.in_force.keys()
-        evacuations.check_zone(zone, self._zones, known, found)
-        if found.found:
-            return None
-        return await self._order_evacuation(zone, requester, end=False)
-
-    async def end_evacuation(self, zone: str, requester: str) -> None:
-        """Ends the evacuation of a zone, if there is one; idempotent.
-
-        Args:
-            zone: The zone.
-            requester: Who gives the order.
-
-        Raises:
-            ReplicationError: If it is not committed.
-        """
-        if not self._replica.ready:
-            raise self._replica.not_leader_error()
-        await self._order_evacuation(zone, requester, end=True)
-
-    async def _order_evacuation(
-        self, zone: str, requester: str, *, end: bool
-    ) -> evacuations.Verdict:
-        # An order that changes nothing is proposed as well, so that its
-        # acknowledgement shows that this member still leads.
-        verdict = await self._leadership.propose(
-            ttypes.WorkCommand(
-                evacuation=ttypes.EvacuationCommand(
-                    zone=zone, requester=requester, end=end
-                )
-            )
-        )
-        evacuation = self._state.evacuations.in_force.get(zone)
-        workers = [
-            worker
-            for worker in self._state.workers.values()
-            if worker.zone == zone
-        ]
-        logs.event(
-            _LOG,
-            'evacuation_end_ordered' if end else 'evacuation_ordered',
-            zone=zone,
-            requester=requester,
-            verdict=verdict.value,
-            accepted_ms=evacuation.accepted_ms if evacuation else None,
-            in_force=len(self._state.evacuations.in_force),
-            workers=len(workers),
-            runs=sum(
-                len(self._state.live_runs(w.worker_id, w.incarnation))
-                for w in workers
-            ),
-        )
-        session = self._leadership.session
-        if session is not None:
-            await session.request_round()
-        return verdict
-
     async def read_wave(self, number: int) -> ttypes.Wave | None:
         """Returns a wave, or None.
 
--- a/banyantrack/platform/control_server.py
+++ b/banyantrack/platform/control_server.py
@@ -182,9 +182,9 @@
         if body:
             found.add('body', f'got {len(body)} bytes; valid is none')
         elif request.method == 'DELETE':
-            await self._api.end_evacuation(zone, PLATFORM_REQUESTER)
+            await self._api.evacuations.end(zone, PLATFORM_REQUESTER)
         else:
-            verdict = await self._api.begin_evacuation(
+            verdict = await self._api.evacuations.begin(
                 zone, PLATFORM_REQUESTER, found
             )
             if verdict is evacuations.Verdict.FULL:
--- a/banyantrack/tests/test_evacuations.py
+++ b/banyantrack/tests/test_evacuations.py
@@ -272,7 +272,7 @@
             None,
             zones=zones,
         )
-        verdict = curio.run(api.begin_evacuation, zone, 'operator', found)
+        verdict = curio.run(api.evacuations.begin, zone, 'operator', found)
         self.assertEqual(verdict is None, bool(found.found))
         return verdict is Verdict.DONE
 
--- a/banyantrack/tests/test_operators.py
+++ b/banyantrack/tests/test_operators.py
@@ -4,9 +4,11 @@
 
 import json
 import pathlib
+import sys
 import typing
 
 import curio
+from curio import subprocess
 import testtools
 
 from banyantrack.cli import control as control_cli
@@ -179,6 +181,62 @@
         self.run_with(scenario, control=1, entries=2)
 
 
+class TestEvacuations(test_daemons.DaemonTest):
+    """Orders of the command line outlast the leader and are shown."""
+
+    def test_begin_and_end_through_fail_over(self) -> None:
+        async def scenario(cluster: system.System) -> None:
+            answer = await cluster.operate('PUT', '/v1/evacuations/b', {})
+            self.assertEqual(400, answer.status)
+            answer = await cluster.operate('PUT', '/v1/evacuations/a%20b')
+            self.assertEqual(422, answer.status)
+            answer = await cluster.operate('PUT', '/v1/evacuations/b')
+            self.assertEqual(200, answer.status)
+            first = json.loads(answer.body)
+            self.assertEqual(
+                ('b', 'operator', 0, []),
+                (
+                    first['zone'],
+                    first['requester'],
+                    first['runs'],
+                    first['affected_customers'],
+                ),
+            )
+            (await cluster.leader()).kill()
+            await cluster.wait_voters(2)
+            again = await cluster.operate('PUT', '/v1/evacuations/b')
+            self.assertEqual(first, json.loads(again.body))
+            server = ','.join(cluster.entry_http)
+            text = await self.command(server, 'get', 'evacuations')
+            self.assertRegex(text, r'(?m)^b +\d+s +operator +0$')
+            text = await self.command(server, 'status')
+            self.assertIn('EVACUATED     b (0 runs)', text)
+            text = await self.command(server, 'evacuate', 'c')
+            self.assertIn('zone c evacuated, 0 runs remain', text)
+            for _ in range(2):
+                await self.command(server, 'evacuate', 'b', '--end')
+            found = await cluster.get('/v1/evacuations')
+            self.assertEqual(['c'], [item['zone'] for item in found['items']])
+
+        self.run_with(scenario, entries=1)
+
+    async def command(self, server: str, *arguments: str) -> str:
+        """Runs `banyan` and returns its output; it must succeed."""
+        completed = await subprocess.run(
+            [
+                sys.executable,
+                '-m',
+                'banyantrack.cli.operator',
+                '--server',
+                server,
+                *arguments,
+            ],
+            stdout=subprocess.PIPE,
+            check=True,
+        )
+        return completed.stdout.decode()
+
+
 class TestHelp(testtools.TestCase):
     """Completion of the command line."""
 
