Native placement places nothing in evacuated zones

Cause: gangs on workers that report have to stay out of an evacuated zone as tasks of the workload do.

Change: workers of an evacuated zone match no selector, so that placement, reclaim and the witness leave them out; running gangs stay, gangs that have not started yet are stopped. Guarantees whose shapes need the zone show up as infeasible in the status.

--- a/banyantrack/placement/allotments.py
+++ b/banyantrack/placement/allotments.py
@@ -139,7 +139,9 @@
             InvariantError: If the witness is not valid afterwards.
         """
         dirty = self._state.take_dirty()
-        if not dirty.jobs and not dirty.objects:
+        zones = frozenset(self._state.work.evacuations.in_force)
+        zones_changed = self.fleet.set_closed_zones(zones)
+        if not dirty.jobs and not dirty.objects and not zones_changed:
             return False
         for kind, name in sorted(dirty.objects):
             self._sync_object(kind, name)
--- a/banyantrack/placement/fleet.py
+++ b/banyantrack/placement/fleet.py
@@ -70,6 +70,8 @@
         self._zone_of_rack: list[int] = []
         self._rack_numbers: dict[tuple[str, str], int] = {}
         self._zone_numbers: dict[str, int] = {}
+        self._closed_zones: frozenset[str] = frozenset()
+        self._closed_zone_numbers: set[int] = set()
         self._rack_workers: list[list[int]] = []
         self._accelerators = array.array('i')
         self._free_accelerators = array.array('i')
@@ -262,6 +264,46 @@
             self._eligible[selector] = found
         return found
 
+    def set_closed_zones(self, zones: frozenset[str]) -> bool:
+        """Sets the zones whose workers get no new work.
+
+        Their workers match no selector.
+
+        Args:
+            zones: Names of the zones.
+
+        Returns:
+            Whether other zones are closed now.
+        """
+        if zones == self._closed_zones:
+            return False
+        self._closed_zones = zones
+        self._closed_zone_numbers = {
+            number
+            for name, number in self._zone_numbers.items()
+            if name in zones
+        }
+        self._generation += 1
+        self._label_generation += 1
+        for text, eligible in self._eligible.items():
+            for worker in range(len(eligible)):
+                eligible[worker] = self._matches(text, worker)
+        return True
+
+    def matches_labels(self, selector: str, number: int) -> bool:
+        """Whether a worker matches a selector, also in a closed zone.
+
+        Args:
+            selector: Selector to match besides the default one.
+            number: The worker.
+        """
+        if self._rack_of[number] == NO_RACK:
+            return False
+        labels = self._labels[number]
+        return self._default_selector.matches(labels) and selectors.parse(
+            selector
+        ).matches(labels)
+
     def set_avoided(self, number: int, avoided: bool) -> None:
         """Sets whether a worker is used last for new work."""
         if self._avoided[number] != avoided:
@@ -344,12 +386,12 @@
                 self._borrowed[worker] += accelerators
 
     def _matches(self, text: str, number: int) -> bool:
-        if self._rack_of[number] == NO_RACK:
-            return False
-        labels = self._labels[number]
-        return self._default_selector.matches(labels) and selectors.parse(
-            text
-        ).matches(labels)
+        rack = self._rack_of[number]
+        return (
+            rack != NO_RACK
+            and self._zone_of_rack[rack] not in self._closed_zone_numbers
+            and self.matches_labels(text, number)
+        )
 
     def _append_empty(self) -> None:
         self._names.append('')
@@ -379,6 +421,8 @@
                 zone, len(self._zone_numbers)
             )
             self._zone_of_rack.append(zone_number)
+            if zone in self._closed_zones:
+                self._closed_zone_numbers.add(zone_number)
         current = self._rack_of[number]
         if current == target:
             return
--- a/banyantrack/placement/scheduler.py
+++ b/banyantrack/placement/scheduler.py
@@ -300,7 +300,8 @@
         """Stops gangs on workers that their selector no longer matches.
 
         A running gang that cannot write a checkpoint stays: labels keep new
-        work off a worker, but running work must not lose its progress.
+        work off a worker, but running work must not lose its progress. In an
+        evacuated zone, all running gangs stay.
         """
         fleet = self._ledger.fleet
         for name, allotment in self._ledger.allotments.items():
@@ -313,7 +314,11 @@
                 continue
             if status.allotment == intent.AllotmentState.STOPPING:
                 continue
-            if job.checkpointable or status.allotment == (
+            excluded = not all(
+                fleet.matches_labels(allotment.gang.selector, worker)
+                for worker in allotment.workers
+            )
+            if (job.checkpointable and excluded) or status.allotment == (
                 intent.AllotmentState.HOLDING
             ):
                 self._add_event(
--- a/banyantrack/tests/test_evacuations.py
+++ b/banyantrack/tests/test_evacuations.py
@@ -12,11 +12,14 @@
 from banyantrack.core import metrics
 from banyantrack.daemons import work_api
 from banyantrack.daemons import work_session
+from banyantrack.generated.intent import ttypes as intent
 from banyantrack.generated.settings import ttypes as settings
 from banyantrack.generated.workload import ttypes
 from banyantrack.platform import reports
 from banyantrack.platform import wire
 from banyantrack.replication import errors as replication_errors
+from banyantrack.testing import builders as intent_builders
+from banyantrack.testing import fake_placement
 from banyantrack.testing import work_builders as builders
 from banyantrack.testing import work_simulation as simulation
 from banyantrack.workload import evacuations
@@ -532,6 +535,125 @@
         self.assertEqual([], guarantees.unproven_customers(state))
 
 
+class TestNativePlacement(testtools.TestCase):
+    """Gangs on workers that report are not placed in an evacuated zone."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.placement = fake_placement.FakePlacement()
+        # Zones `z0` to `z2`, 64 accelerators each.
+        fake_placement.add_fleet(self.placement, workers=24)
+        self.placement.apply(
+            intent_builders.customer('a'),
+            intent_builders.guarantee(
+                'g', customer='a', accelerators=64, count=2
+            ),
+        )
+        self.placement.round()
+
+    def order(self, zone: str, *, end: bool = False) -> None:
+        """Applies an order and runs a round."""
+        order(self.placement.state.work, zone, end=end)
+        self.placement.round()
+
+    def submit(self, name: str, members: int) -> None:
+        """Submits a checkpointable job and lets it start."""
+        self.placement.submit(
+            intent_builders.job(
+                name, customer='a', members=members, checkpointable=True
+            ),
+            run_ms=1_000_000,
+        )
+        self.placement.run_until(self.placement.now_ms + 2000)
+
+    def zones(self, name: str) -> set[str]:
+        """Returns the zones that a job is placed in."""
+        state = self.placement.state
+        return {
+            state.get(intent.ObjectKind.WORKER, worker).worker.zone
+            for worker in state.worker_names(state.jobs.get(name))
+        }
+
+    def test_nothing_starts_and_running_gangs_stay(self) -> None:
+        # Guards against gangs that are stopped in the zone as if labels had
+        # excluded its workers.
+        self.submit('first', 150)
+        self.assertEqual({'z0', 'z1', 'z2'}, self.zones('first'))
+        self.order('z1')
+        self.submit('second', 30)
+        status = self.placement.state.jobs.get('first')
+        self.assertEqual(intent.AllotmentState.RUNNING, status.allotment)
+        second = self.placement.state.jobs.get('second')
+        if second.phase == intent.JobPhase.PLACED:
+            self.assertNotIn('z1', self.zones('second'))
+
+    def test_zone_is_used_again_after_the_end(self) -> None:
+        self.order('z1')
+        # The next leader starts with the replicated state.
+        self.placement.change_leader()
+        self.submit('part', 128)
+        self.assertEqual({'z0', 'z2'}, self.zones('part'))
+        self.submit('more', 8)
+        status = self.placement.state.jobs.get('more')
+        self.assertEqual(intent.JobPhase.WAITING, status.phase)
+        self.order('z1', end=True)
+        self.placement.run_until(self.placement.now_ms + 2000)
+        self.assertEqual({'z1'}, self.zones('more'))
+
+    def test_gang_that_has_not_started_yet(self) -> None:
+        # Guards against a gang that was placed before the order and starts
+        # seconds after it.
+        self.placement.submit(
+            intent_builders.job(
+                'late', customer='a', members=192, restartable=True
+            ),
+            run_ms=1000,
+        )
+        self.placement.round()
+        status = self.placement.state.jobs.get('late')
+        self.assertEqual(intent.AllotmentState.HOLDING, status.allotment)
+        self.order('z1')
+        status = self.placement.state.jobs.get('late')
+        self.assertEqual(intent.AllotmentState.STOPPING, status.allotment)
+
+    def test_worker_that_registers_later(self) -> None:
+        self.order('z9')
+        self.placement.register(
+            intent_builders.stored(
+                'workers',
+                'late',
+                zone='z9',
+                rack='r9',
+                accelerators=8,
+                processors=64,
+                memory_mb=262_144,
+                own_labels={'kind': 'x'},
+            )
+        )
+        self.submit('job', 1)
+        self.placement.submit(
+            intent_builders.job(
+                'wants', customer='a', selector='kind=x', restartable=True
+            ),
+            run_ms=1000,
+        )
+        self.placement.run_until(self.placement.now_ms + 2000)
+        status = self.placement.state.jobs.get('wants')
+        self.assertEqual(intent.JobPhase.WAITING, status.phase)
+
+    def test_guarantee_that_needs_the_zone(self) -> None:
+        # The zones that are left hold both shapes, then only one.
+        self.assertEqual({}, self.placement.scheduler.infeasible_shapes())
+        self.order('z1')
+        self.assertEqual({}, self.placement.scheduler.infeasible_shapes())
+        self.order('z2')
+        self.assertEqual(
+            {'g': 1}, self.placement.scheduler.infeasible_shapes()
+        )
+        self.order('z1', end=True)
+        self.assertEqual({}, self.placement.scheduler.infeasible_shapes())
+
+
 class TestLeaders(testtools.TestCase):
     """Whoever leads enforces an order that was recorded."""
 
