Entries avoid evacuated zones; evacuations in the platform soak

Cause: new requests should leave an evacuated zone too, and the order has to hold under the faults of the soak.

Change: watch replies list the evacuated zones, and an entry that names the ones it knows is answered as soon as they change. Requests go to backends there only if no other zone has one.

--- a/banyantrack/daemons/rollout.py
+++ b/banyantrack/daemons/rollout.py
@@ -100,12 +100,27 @@
         while True:
             reply = self._changes(request.from_revision)
             left_s = deadline_s - clock.steady_s()
-            if reply.full or reply.objects or left_s <= 0:
+            if (
+                reply.full
+                or reply.objects
+                or left_s <= 0
+                or self._has_other_zones(request)
+            ):
                 return reply
             await self._replica.wait_next_applied(left_s)
             if not self._replica.ready:
                 raise self.not_leader_error()
 
+    def _has_other_zones(self, request: cluster.WatchRequest) -> bool:
+        """Whether other zones are evacuated than those the entry knows."""
+        return (
+            request.evacuated_zones is not None
+            and request.evacuated_zones != self._evacuated_zones()
+        )
+
+    def _evacuated_zones(self) -> list[str]:
+        return sorted(self._state.work.evacuations.in_force)
+
     def not_leader_error(self) -> rpc.CallError:
         """Returns the error that names the leader."""
         error = self._replica.not_leader_error()
@@ -147,6 +162,7 @@
             revision=self._state.revision,
             objects=self._state.of_kind(*ENTRY_KINDS),
             entries=self._entry_addresses(),
+            evacuated_zones=self._evacuated_zones(),
         )
 
     def _changes(self, revision: int) -> cluster.WatchReply:
@@ -163,6 +179,7 @@
             revision=self._state.revision,
             objects=[c for c in changes if c.kind in ENTRY_KINDS],
             entries=self._entry_addresses(),
+            evacuated_zones=self._evacuated_zones(),
         )
 
     def _entry_addresses(self) -> list[str]:
--- a/banyantrack/dispatch/dispatcher.py
+++ b/banyantrack/dispatch/dispatcher.py
@@ -112,6 +112,7 @@
         self._candidates: dict[str, list[targets_module.Target]] = {}
         # Config revision and backend generation of the last refresh.
         self._applied_versions = (-1, -1)
+        self._applied_zones: frozenset[str] = frozenset()
         self._queues = {
             lane: queueing.LaneQueue(self._weight) for lane in (QUICK, LONG)
         }
@@ -188,8 +189,10 @@
     def refresh(self) -> None:
         """Applies changed routes, backends and labels, if there are any."""
         versions = (self._config.revision, self._backends.generation)
-        if versions == self._applied_versions:
+        zones = self._config.evacuated_zones
+        if versions == self._applied_versions and zones == self._applied_zones:
             return
+        self._applied_zones = zones
         if versions[0] != self._applied_versions[0]:
             self._refresh_config()
         # Operator labels set by the refresh raise the backend generation.
@@ -299,12 +302,22 @@
     def _eligible_targets(
         self, route: requests_module.Route
     ) -> list[targets_module.Target]:
-        return [
+        """Returns the targets of a route.
+
+        Those in evacuated zones are used only if there are no others.
+        """
+        eligible = [
             target
             for target in self._targets.values()
             if not target.backend.leaving
             and route.selector.matches(target.backend.labels)
         ]
+        elsewhere = [
+            target
+            for target in eligible
+            if target.backend.zone not in self._applied_zones
+        ]
+        return elsewhere or eligible
 
     # Slots.
 
--- a/banyantrack/membership/config.py
+++ b/banyantrack/membership/config.py
@@ -49,8 +49,17 @@
         self._recent: list[intent.StoredObject] = []
         # Revision after which `_recent` holds all changes.
         self._recent_base = 0
+        self._evacuated_zones: frozenset[str] = frozenset()
         self._changed = signals.Signal()
 
+    @property
+    def evacuated_zones(self) -> frozenset[str]:
+        """Evacuated availability zones, as the leader said last.
+
+        They are not part of the revision, and peers do not forward them.
+        """
+        return self._evacuated_zones
+
     @property
     def revision(self) -> int:
         """Revision in force; `NO_REVISION` if there is none."""
@@ -85,6 +94,12 @@
         self._advance(revision)
         return True
 
+    def set_evacuated_zones(self, zones: frozenset[str]) -> bool:
+        """Replaces the evacuated zones; returns whether they have changed."""
+        changed = zones != self._evacuated_zones
+        self._evacuated_zones = zones
+        return changed
+
     def apply_changes(
         self,
         from_revision: int,
@@ -278,6 +293,7 @@
             entry_address=self._rpc_address,
             http_address=self._http_address,
             all_kinds=False,
+            evacuated_zones=sorted(self._config.evacuated_zones),
         )
         reply = await self._control.call(
             request, timeout_s=WATCH_WAIT_MS / 1000 + WATCH_MARGIN_S
@@ -289,6 +305,16 @@
                 revision, reply.revision, reply.objects
             )
         self._on_entries(reply.entries)
+        # A leader of a build that does not know evacuations changes nothing.
+        if reply.evacuated_zones is not None and (
+            self._config.set_evacuated_zones(frozenset(reply.evacuated_zones))
+        ):
+            logs.event(
+                _LOG,
+                'evacuated_zones',
+                zones=','.join(reply.evacuated_zones) or None,
+            )
+            await self._config.notify()
         if changed and (reply.full or reply.objects):
             logs.event(
                 _LOG,
--- a/banyantrack/testing/platform_soak.py
+++ b/banyantrack/testing/platform_soak.py
@@ -43,6 +43,9 @@
 # Share of the jobs with a task that crashes each executor that starts it.
 CRASHING_SHARE = 0.03
 ACCELERATORS = 8
+ZONES = ('z1', 'z2', 'z3')
+# An evacuation takes effect 5 s after its acknowledgement.
+EVACUATION_S = (4.0, 9.0)
 # A group of five tolerates the loss of two members.
 MAX_DOWN_MEMBERS = 2
 FINISHED_STATES = ('completed', 'failed', 'cancelled')
@@ -61,6 +64,7 @@
     RESET_LINKS = 'reset-links'
     RESTART_EXECUTOR = 'restart-executor'
     RESIZE_EXECUTOR = 'resize-executor'
+    EVACUATE = 'evacuate'
 
 
 @dataclasses.dataclass(slots=True)
@@ -103,12 +107,14 @@
             executors=EXECUTOR_COUNT,
             seed=seed,
             late=0.03,
+            zones=ZONES,
         )
         self._proxies = self._make_proxies()
         self._jobs: dict[str, SubmittedJob] = {}
         self._acknowledged_version = 1
         self._configs = {1: platform_system.DEFAULT_CONFIG}
         self._down_members: set[str] = set()
+        self._evacuating = False
         self._faults_over = False
         self.faults: collections.Counter[str] = collections.Counter()
         self.broken: list[str] = []
@@ -263,6 +269,8 @@
             executor.resize(gpu=self._rng.randrange(ACCELERATORS))
             await curio.sleep(self._rng.uniform(0.5, 6.0))
             executor.resize(gpu=ACCELERATORS)
+        elif fault is Fault.EVACUATE:
+            await self._evacuate()
         elif fault is Fault.RELOAD:
             for process in self._system.processes:
                 if process.running:
@@ -273,6 +281,24 @@
         else:
             await self._inject_control_fault(fault)
 
+    async def _evacuate(self) -> None:
+        """Evacuates a zone for some seconds, one at a time."""
+        if self._evacuating:
+            return
+        self._evacuating = True
+        zone = self._rng.choice(ZONES)
+        try:
+            for end in (False, True):
+                status = await self._system.evacuate(zone, end=end)
+                if status != 200:
+                    self.broken.append(f'evacuation of {zone}: {status}')
+                if not end:
+                    await curio.sleep(self._rng.uniform(*EVACUATION_S))
+        except TimeoutError as error:
+            self.broken.append(str(error))
+        finally:
+            self._evacuating = False
+
     async def _supervise(self) -> None:
         """Restarts daemons that ended without a fault of the schedule."""
         while True:
@@ -320,7 +346,7 @@
     async def _end_faults(self) -> None:
         for proxy in self._proxies:
             proxy.mode = fault_proxy.Mode.PASS
-        while self._down_members:
+        while self._down_members or self._evacuating:
             await curio.sleep(0.1)
 
     # Checks.
--- a/banyantrack/tests/test_dispatch.py
+++ b/banyantrack/tests/test_dispatch.py
@@ -88,6 +88,53 @@
         self.assertIsNone(queue.pop(lambda waiter: True))
 
 
+class TestEvacuatedZones(testtools.TestCase):
+    """Backends in evacuated zones are used only if there are no others."""
+
+    def test_candidates(self) -> None:
+        table = backends.BackendTable(lapse_s=1.0)
+        current = config.Config()
+        current.replace(1, [builders.route('seats')])
+        chosen = dispatcher.Dispatcher(
+            documents.model('settings').make('DispatchSettings'),
+            table,
+            current,
+            name='e',
+            zone='a',
+        )
+
+        def announce(zone: str, state: int) -> None:
+            table.announce(
+                cluster.Announcement(
+                    backend_id=f'b-{zone}',
+                    incarnation=1,
+                    address='127.0.0.1:1',
+                    zone=zone,
+                    labels={},
+                    slots=8,
+                    state=state,
+                )
+            )
+
+        def candidates() -> set[str]:
+            chosen.refresh()
+            return {
+                target.backend.zone for target in chosen._candidates['seats']
+            }
+
+        for zone in 'ab':
+            announce(zone, cluster.BackendState.SERVING)
+        self.assertEqual({'a', 'b'}, candidates())
+        self.assertTrue(current.set_evacuated_zones(frozenset('a')))
+        self.assertEqual({'b'}, candidates())
+        announce('b', cluster.BackendState.LEAVING)
+        self.assertEqual({'a'}, candidates())
+        self.assertTrue(current.set_evacuated_zones(frozenset()))
+        self.assertFalse(current.set_evacuated_zones(frozenset()))
+        announce('c', cluster.BackendState.SERVING)
+        self.assertEqual({'a', 'c'}, candidates())
+
+
 class TestLanes(testtools.TestCase):
     """Lanes follow run times, and quick work has reserved slots."""
 
--- a/banyantrack/tests/test_operators.py
+++ b/banyantrack/tests/test_operators.py
@@ -215,6 +215,15 @@
             self.assertIn('zone c evacuated, 0 runs remain', text)
             for _ in range(2):
                 await self.command(server, 'evacuate', 'b', '--end')
+
+            async def entry_knows() -> bool:
+                text = cluster.entries[0].log.read_text()
+                return (
+                    'event=evacuated_zones zones="b,c"' in text
+                    and 'event=evacuated_zones zones=c' in text
+                )
+
+            await system.wait_for(entry_knows, 'zones at the entry')
             found = await cluster.get('/v1/evacuations')
             self.assertEqual(['c'], [item['zone'] for item in found['items']])
 
--- a/schema/cluster.thrift
+++ b/schema/cluster.thrift
@@ -34,6 +34,9 @@
   4: string entry_address
   5: string http_address
   6: bool all_kinds
+  // Evacuated zones that the entry knows; a reply does not wait if there are
+  // others.
+  7: optional list<string> evacuated_zones
 }
 
 struct WatchReply {
@@ -42,6 +45,8 @@
   3: list<intent.StoredObject> objects
   // RPC addresses of entries that follow.
   4: list<string> entries
+  // Evacuated zones; not set by a build that does not know them.
+  5: optional list<string> evacuated_zones
 }
 
 struct CommandRequest {
