Budget of buffered bytes, connection limits and deadlines for all listeners

Cause: bodies and frames were buffered without a bound across connections, a declared length was not checked before reading, decoding of small chunks never let other tasks run, and 10,000 connections were accepted on each listener.

Change: transport/budget.py holds the limits of a process. Bytes are reserved before they are read, counted twice for bodies; when they are short, the oldest unfinished request of at least 64 KiB is dropped with a 503 (by address first, if one address is over its share). RPC frames have their own budget, and each kind of listener its own share of the descriptors. A listener at its limit ends the connection that waits longest. Heads, bodies, frames, and writes have deadlines; a connection lets others run every 32 events; bodies of small chunks get 400; a declared length over the limit gets 413 before it is read. RPC connections have at most 512 calls in progress.

--- a/banyantrack/daemons/control.py
+++ b/banyantrack/daemons/control.py
@@ -29,6 +29,7 @@
 from banyantrack.replication import rpc_handlers
 from banyantrack.replication import storage as storage_module
 from banyantrack.transport import addresses
+from banyantrack.transport import budget
 from banyantrack.transport import http
 from banyantrack.transport import http_server
 from banyantrack.transport import problems
@@ -86,6 +87,7 @@
     ) -> None:
         self._settings = settings
         self._metrics = metrics_module.Metrics()
+        self._limits = budget.make_limits(settings.limits, self._metrics)
         self._auth = auth.Authenticator(settings.tokens)
         self._state = state_module.IntentState()
         self._storage = storage_module.Storage(
@@ -123,6 +125,7 @@
                 self._placement.propose,
                 self._pool,
                 self._metrics,
+                self._limits,
             )
         self._add_gauges()
 
@@ -163,7 +166,8 @@
         Raises:
             BanyanError: If a background task failed.
         """
-        rpc_server = rpc.RpcServer(self._settings.rpc_address)
+        limits = self._limits
+        rpc_server = rpc.RpcServer(self._settings.rpc_address, limits=limits)
         rpc_handlers.register(rpc_server, self._replica)
         rpc_server.handle(
             cluster.WatchRequest, self._rollout.watch, concurrent=True
@@ -175,7 +179,13 @@
             cluster.OperatorRequest, self._operator, concurrent=True
         )
         server = http_server.HttpServer(
-            self._settings.http_address, self._serve
+            self._settings.http_address,
+            self._serve,
+            # Workers report here unless they use the platform's interface.
+            limit=limits.connections.clients
+            if self._platform is None
+            else limits.connections.operators,
+            limits=limits,
         )
         if self._platform is not None:
             self._platform.register(rpc_server)
--- a/banyantrack/daemons/control_platform.py
+++ b/banyantrack/daemons/control_platform.py
@@ -25,6 +25,7 @@
     from banyantrack.generated.intent import ttypes as intent
     from banyantrack.generated.settings import ttypes as settings_types
     from banyantrack.replication import replica as replica_module
+    from banyantrack.transport import budget
     from banyantrack.workload import state as state_module
 
 FORM_RETRY_DELAY_S = 0.2
@@ -44,6 +45,7 @@
         propose: Proposes a command of the intent state.
         pool: Connections to other members.
         metrics: Metrics of the process.
+        limits: Limits of the process.
     """
 
     def __init__(
@@ -56,6 +58,7 @@
         ],
         pool: rpc.RpcPool,
         metrics: metrics_module.Metrics,
+        limits: budget.Limits,
     ) -> None:
         self._settings = settings
         self._replica = replica
@@ -70,7 +73,9 @@
             metrics,
         )
         self._api = work_api.WorkApi(replica, state, self._leadership, pool)
-        self._server = control_server.ControlServer(options.address, self._api)
+        self._server = control_server.ControlServer(
+            options.address, self._api, limits
+        )
 
     def register(self, server: rpc.RpcServer) -> None:
         """Registers the RPC handlers for entries and other members."""
--- a/banyantrack/daemons/entry.py
+++ b/banyantrack/daemons/entry.py
@@ -27,6 +27,7 @@
 from banyantrack.membership import backends as backends_module
 from banyantrack.membership import config as config_module
 from banyantrack.membership import gossip as gossip_module
+from banyantrack.transport import budget
 from banyantrack.transport import http
 from banyantrack.transport import http_server
 from banyantrack.transport import problems
@@ -59,6 +60,7 @@
         self._settings = settings
         dispatch = settings.dispatch
         self._metrics = metrics_module.Metrics()
+        self._limits = budget.make_limits(settings.limits, self._metrics)
         self._auth = auth.Authenticator(settings.tokens)
         self._timers = timers_module.TimerService()
         self._rpc_pool = rpc.RpcPool()
@@ -121,13 +123,17 @@
             stop: Set when the daemon should stop.
         """
         settings = self._settings
-        rpc_server = rpc.RpcServer(settings.rpc_address)
+        rpc_server = rpc.RpcServer(settings.rpc_address, limits=self._limits)
         rpc_server.handle(cluster.GossipRequest, self._gossip.receive)
         server = http_server.HttpServer(
             settings.http_address,
             self._serve,
-            limit=settings.dispatch.caller_connections,
+            limit=min(
+                settings.dispatch.caller_connections,
+                self._limits.connections.clients,
+            ),
             caller_timeout_s=settings.dispatch.caller_timeout_ms / 1000,
+            limits=self._limits,
         )
         self._server = server
         await rpc_server.start()
--- a/banyantrack/daemons/entry_platform.py
+++ b/banyantrack/daemons/entry_platform.py
@@ -14,6 +14,7 @@
 from banyantrack.daemons import job_gateway
 from banyantrack.membership import locator as locator_module
 from banyantrack.platform import entry_server
+from banyantrack.transport import budget
 from banyantrack.transport import http_server
 from banyantrack.transport import rpc
 
@@ -48,6 +49,7 @@
         self._settings = settings
         options = settings.platform
         self._metrics = metrics_module.Metrics()
+        limits = budget.make_limits(settings.limits, self._metrics)
         self._pool = rpc.RpcPool()
         seeds = locator_module.rpc_addresses(
             options.seeds, options.control_rpc_port
@@ -71,11 +73,15 @@
             options.address,
             options.readiness_address,
             self._gateway,
+            limits,
         )
         # The platform assigns other ports each day, so metrics are served at
         # the fixed address in the settings.
         self._metrics_server = http_server.HttpServer(
-            settings.http_address, self._serve_metrics
+            settings.http_address,
+            self._serve_metrics,
+            limit=limits.connections.operators,
+            limits=limits,
         )
 
     async def _serve_metrics(self, request: http_server.Request) -> None:
--- a/banyantrack/dispatch/proxy.py
+++ b/banyantrack/dispatch/proxy.py
@@ -228,11 +228,17 @@
             return
         body = bytearray()
         while len(body) <= settings.replay_bytes:
+            step = http.READ_BYTES
+            if length is not None:
+                step = min(step, int(length) - len(body))
+            await incoming.hold(len(body) + step)
             event = await incoming.next_event()
             if isinstance(event, h11.Data):
                 body += event.data
             elif isinstance(event, h11.EndOfMessage):
                 request.body = bytes(body)
+                await incoming.hold(len(body))
+                incoming.end_reading()
                 return
             else:
                 raise http.ClosedError(
@@ -240,6 +246,7 @@
                 )
         request.body = bytes(body)
         request.body_complete = False
+        incoming.end_reading()
 
     # Claims.
 
--- a/banyantrack/platform/control_server.py
+++ b/banyantrack/platform/control_server.py
@@ -13,6 +13,7 @@
 from banyantrack.platform import wire
 from banyantrack.replication import errors as replication_errors
 from banyantrack.transport import addresses
+from banyantrack.transport import budget
 from banyantrack.transport import http
 from banyantrack.transport import http_server
 
@@ -33,16 +34,24 @@
     Args:
         address: `IP:PORT` to listen on.
         api: Executes the requests.
+        limits: Limits of the process.
     """
 
     def __init__(
         self,
         address: str,
         api: work_api.WorkApi,
+        limits: budget.Limits | None = None,
     ) -> None:
         self._address = address
         self._api = api
-        self._server = http_server.HttpServer(address, self._serve)
+        limits = limits or budget.Limits()
+        self._server = http_server.HttpServer(
+            address,
+            self._serve,
+            limit=limits.connections.clients,
+            limits=limits,
+        )
 
     @property
     def active(self) -> int:
--- a/banyantrack/platform/entry_server.py
+++ b/banyantrack/platform/entry_server.py
@@ -11,6 +11,7 @@
 from banyantrack.generated.workload import ttypes
 from banyantrack.platform import jobs
 from banyantrack.platform import wire
+from banyantrack.transport import budget
 from banyantrack.transport import http
 from banyantrack.transport import http_server
 
@@ -31,6 +32,7 @@
         address: `IP:PORT` for customers.
         readiness_address: `IP:PORT` for readiness probes.
         gateway: Forwards calls to the leader.
+        limits: Limits of the process.
     """
 
     def __init__(
@@ -38,11 +40,21 @@
         address: str,
         readiness_address: str,
         gateway: job_gateway.JobGateway,
+        limits: budget.Limits | None = None,
     ) -> None:
         self._gateway = gateway
-        self._customer_server = http_server.HttpServer(address, self._serve)
+        limits = limits or budget.Limits()
+        self._customer_server = http_server.HttpServer(
+            address,
+            self._serve,
+            limit=limits.connections.clients,
+            limits=limits,
+        )
         self._probe_server = http_server.HttpServer(
-            readiness_address, self._serve_probe
+            readiness_address,
+            self._serve_probe,
+            limit=limits.connections.probes,
+            limits=limits,
         )
 
     @property
--- a/banyantrack/transport/http.py
+++ b/banyantrack/transport/http.py
@@ -5,6 +5,7 @@
 import collections.abc
 import socket
 import struct
+import time
 import typing
 
 import curio
@@ -15,6 +16,9 @@
 
 HEAD_LIMIT_BYTES = 16 * 1024
 READ_BYTES = 64 * 1024
+# Events of a connection after which other tasks run. Decoding one event takes
+# about 15 us, however small it is.
+EVENTS_PER_SLICE = 32
 # Headers that concern one connection only; a proxy must not forward them.
 HOP_BY_HOP_HEADERS = frozenset(
     (
@@ -31,6 +35,7 @@
 )
 
 Headers = list[tuple[bytes, bytes]]
+MakeError = collections.abc.Callable[[], errors.BanyanError]
 
 
 class ProtocolError(errors.BanyanError):
@@ -67,16 +72,37 @@
     Attributes:
         timeout_s: Seconds that `receive` waits for data; None waits without
             a limit.
+        deadline_s: Monotonic time until which `receive` waits; None for no
+            limit.
+        read_bytes: Largest number of bytes that are read at once.
+        sending_since_s: Monotonic time at which the write in progress began;
+            None if there is none.
     """
 
-    __slots__ = ('_socket', '_state', 'timeout_s')
+    __slots__ = (
+        '_socket',
+        '_state',
+        '_events',
+        '_head_timeout_s',
+        '_interruption',
+        'timeout_s',
+        'deadline_s',
+        'read_bytes',
+        'sending_since_s',
+    )
 
     def __init__(self, sock: io.Socket, role: type[h11.Sentinel]) -> None:
         self._socket = sock
         self._state = h11.Connection(
             role, max_incomplete_event_size=HEAD_LIMIT_BYTES
         )
+        self._events = 0
+        self._head_timeout_s: float | None = None
+        self._interruption: MakeError | None = None
         self.timeout_s: float | None = None
+        self.deadline_s: float | None = None
+        self.read_bytes = READ_BYTES
+        self.sending_since_s: float | None = None
 
     @property
     def state(self) -> h11.Connection:
@@ -89,10 +115,19 @@
         Raises:
             ProtocolError: If the peer violated the protocol.
             ClosedError: If the peer closed the connection within a message.
-            ReceiveTimeoutError: If the peer sent nothing for `timeout_s`.
+            ReceiveTimeoutError: If the peer sent nothing for `timeout_s`, or
+                not all until `deadline_s`.
+            BanyanError: What the argument of `interrupt` returned, if it was
+                called.
             OSError: If the connection failed.
         """
         while True:
+            if self._interruption is not None:
+                raise self._interruption()
+            self._events += 1
+            if self._events % EVENTS_PER_SLICE == 0:
+                # Reading and decoding wait for nothing while data is there.
+                await curio.sleep(0)
             try:
                 event = self._state.next_event()
             except h11.RemoteProtocolError as error:
@@ -106,7 +141,36 @@
                 ) from error
             if event is not h11.NEED_DATA:
                 return event
-            self._state.receive_data(await self._read())
+            data = await self._read()
+            if self.deadline_s is None and self._head_timeout_s is not None:
+                self.deadline_s = time.monotonic() + self._head_timeout_s
+            self._state.receive_data(data)
+
+    def expect_head(self, timeout_s: float | None) -> None:
+        """Limits the time from the first byte of a head to its last one.
+
+        Args:
+            timeout_s: The limit in seconds; None ends it.
+        """
+        self._head_timeout_s = timeout_s
+        self.deadline_s = None
+        if timeout_s is not None and self.has_partial_input():
+            self.deadline_s = time.monotonic() + timeout_s
+
+    def has_partial_input(self) -> bool:
+        """Whether received data waits for more of its event."""
+        return bool(self._state.trailing_data[0])
+
+    def interrupt(self, make_error: MakeError) -> None:
+        """Makes `receive` raise an error; a response can still be sent.
+
+        Args:
+            make_error: Returns the error. It is made when it is raised, since
+                one that is kept holds the frames that it passed, and with
+                them the body, until the garbage collector runs.
+        """
+        self._interruption = make_error
+        self._shut_down(socket.SHUT_RD)
 
     async def send(self, event: typing.Any) -> None:
         """Sends one h11 event.
@@ -117,13 +181,13 @@
         """
         data = self._state.send(event)
         if data:
-            await self._socket.sendall(data)
+            await self._send(data)
 
     async def send_all(self, *events: typing.Any) -> None:
         """Sends several events with one write; see `send`."""
         data = b''.join(filter(None, map(self._state.send, events)))
         if data:
-            await self._socket.sendall(data)
+            await self._send(data)
 
     async def close(self) -> None:
         """Closes the socket."""
@@ -147,26 +211,42 @@
 
     def shut_down(self) -> None:
         """Shuts down both directions, which wakes tasks that wait for data."""
+        self._shut_down(socket.SHUT_RDWR)
+
+    def peer_disconnected(self) -> bool:
+        """Whether the peer has closed or reset the connection."""
+        return _peek(self._socket) == b''
+
+    def _shut_down(self, directions: int) -> None:
         try:
             with self._socket.blocking() as raw:
                 raw.setblocking(False)
-                raw.shutdown(socket.SHUT_RDWR)
+                raw.shutdown(directions)
         except OSError:
             pass
 
-    def peer_disconnected(self) -> bool:
-        """Whether the peer has closed or reset the connection."""
-        return _peek(self._socket) == b''
+    async def _send(self, data: bytes) -> None:
+        self.sending_since_s = time.monotonic()
+        try:
+            await self._socket.sendall(data)
+        finally:
+            self.sending_since_s = None
 
     async def _read(self) -> bytes:
-        if self.timeout_s is None:
-            return await self._socket.recv(READ_BYTES)
+        timeout_s = self.timeout_s
+        if timeout_s is None:
+            return await self._socket.recv(self.read_bytes)
+        if self.deadline_s is not None:
+            left_s = self.deadline_s - time.monotonic()
+            if left_s <= 0:
+                raise ReceiveTimeoutError('the request took too long')
+            timeout_s = min(timeout_s, left_s)
         try:
-            async with curio.timeout_after(self.timeout_s):
-                return await self._socket.recv(READ_BYTES)
+            async with curio.timeout_after(timeout_s):
+                return await self._socket.recv(self.read_bytes)
         except curio.TaskTimeout:
             raise ReceiveTimeoutError(
-                f'no data received for {self.timeout_s:.3f} s'
+                f'no data received for {timeout_s:.3f} s'
             ) from None
 
 
--- a/banyantrack/transport/listener.py
+++ b/banyantrack/transport/listener.py
@@ -6,6 +6,7 @@
 import errno
 import logging
 import socket
+import time
 
 import curio
 from curio import io
@@ -18,6 +19,8 @@
 # Delay after a transient accept error, such as running out of file descriptors
 # or buffers.
 ACCEPT_RETRY_DELAY_S = 0.1
+# At most one line about a limit is logged in this time.
+LIMIT_LOG_INTERVAL_S = 1.0
 _TRANSIENT_ERRNOS = {
     errno.EMFILE,
     errno.ENFILE,
@@ -30,6 +33,7 @@
 ConnectionHandler = collections.abc.Callable[
     [io.Socket], collections.abc.Awaitable[None]
 ]
+MakeRoom = collections.abc.Callable[[], bool]
 
 
 def open_listener(address: str) -> io.Socket:
@@ -62,6 +66,8 @@
         handler: Serves one connection; the socket is closed when it returns.
         limit: Maximum number of concurrent connections; further ones wait in
             the backlog.
+        make_room: Ends one connection for a new one; returns whether it
+            found one. None if connections are never ended for others.
     """
 
     def __init__(
@@ -70,7 +76,10 @@
         handler: ConnectionHandler,
         *,
         limit: int = 10_000,
+        make_room: MakeRoom | None = None,
     ) -> None:
+        self._make_room = make_room
+        self._limit_logged_at_s = float('-inf')
         self._address = address
         self._handler = handler
         self._limit = limit
@@ -105,28 +114,49 @@
 
     async def _accept(self) -> None:
         while True:
-            while len(self._tasks) >= self._limit:
-                self._below_limit.clear()
-                await self._below_limit.wait()
+            await self._wait_below_limit()
             try:
                 client, _ = await self._socket.accept()
             except OSError as error:
                 if error.errno not in _TRANSIENT_ERRNOS:
                     raise
-                logs.event(
-                    _LOG,
-                    'accept_failed',
-                    level=logging.WARNING,
-                    address=self._address,
-                    error=error,
-                )
+                self._log_limit('accept_failed', error=error)
+                if self._make_room is not None:
+                    self._make_room()
                 await curio.sleep(ACCEPT_RETRY_DELAY_S)
                 continue
-            await curio.spawn(self._serve, client, daemon=True)
+            # Counted here, since the task runs only after further accepts.
+            task = await curio.spawn(self._serve, client, daemon=True)
+            self._tasks.add(task)
+
+    async def _wait_below_limit(self) -> None:
+        while len(self._tasks) >= self._limit:
+            self._below_limit.clear()
+            ended = self._make_room is not None and self._make_room()
+            self._log_limit(
+                'connection_limit', connections=len(self._tasks), ended=ended
+            )
+            # A connection may become idle, and may then be ended, without
+            # any other being closed.
+            async with curio.ignore_after(ACCEPT_RETRY_DELAY_S):
+                await self._below_limit.wait()
+
+    def _log_limit(self, name: str, **values: object) -> None:
+        now_s = time.monotonic()
+        if now_s - self._limit_logged_at_s < LIMIT_LOG_INTERVAL_S:
+            return
+        self._limit_logged_at_s = now_s
+        logs.event(
+            _LOG,
+            name,
+            level=logging.WARNING,
+            address=self._address,
+            limit=self._limit,
+            **values,
+        )
 
     async def _serve(self, client: io.Socket) -> None:
         task = await curio.current_task()
-        self._tasks.add(task)
         try:
             client.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             await self._handler(client)
--- a/banyantrack/transport/rpc.py
+++ b/banyantrack/transport/rpc.py
@@ -13,6 +13,7 @@
 import logging
 import socket
 import struct
+import time
 import typing
 
 import curio
@@ -24,6 +25,7 @@
 from banyantrack.generated.cluster import constants
 from banyantrack.generated.cluster import ttypes as cluster
 from banyantrack.transport import addresses
+from banyantrack.transport import budget
 from banyantrack.transport import listener
 from banyantrack.transport import messages
 
@@ -32,6 +34,12 @@
 # The kernel closes a connection whose sent data stays unacknowledged for this
 # time (TCP_USER_TIMEOUT).
 UNACKNOWLEDGED_TIMEOUT_MS = 3000
+# Calls of one connection that are handled at once; further ones are not read.
+CALLS_PER_CONNECTION = 512
+# Frames of a connection after which other tasks run.
+FRAMES_PER_SLICE = 32
+READ_BYTES = 64 * 1024
+SWEEP_INTERVAL_S = 1.0
 _LENGTH = struct.Struct('>I')
 _LOG = logging.getLogger(__name__)
 
@@ -81,21 +89,58 @@
 
     Args:
         sock: A connected socket.
+        limits: Limits of the process for frames that are received; no limit
+            besides FRAME_LIMIT_BYTES if None.
+
+    Attributes:
+        sending_since_s: Monotonic time at which the write in progress began;
+            None if there is none.
     """
 
-    def __init__(self, sock: io.Socket) -> None:
+    def __init__(
+        self, sock: io.Socket, limits: budget.Limits | None = None
+    ) -> None:
         self._socket = sock
+        self._limits = limits
+        self._holding: budget.Holding | None = None
+        if limits is not None:
+            self._holding = budget.Holding(
+                limits.members, sock.getpeername()[0], self.shut_down
+            )
+        self._frames = 0
+        self._deadline_s: float | None = None
+        self.sending_since_s: float | None = None
         self._buffer = bytearray()
         self._write_lock = curio.Lock()
         self._write_incomplete = False
 
+    @property
+    def source(self) -> str:
+        """Address of the peer, without its port."""
+        return self._holding.source if self._holding is not None else ''
+
     async def read(self) -> cluster.Frame | None:
         """Returns the next frame, or None at the end of the stream.
 
         Raises:
-            FrameError: If the data is not a valid frame.
+            FrameError: If the data is not a valid frame, took too long, or
+                the memory for frames is short.
             OSError: If the connection fails.
         """
+        self._frames += 1
+        if self._frames % FRAMES_PER_SLICE == 0:
+            # Reading waits for nothing while data is there.
+            await curio.sleep(0)
+        self._deadline_s = None
+        try:
+            return await self._read_frame()
+        except budget.BudgetError as error:
+            raise FrameError(str(error)) from error
+        finally:
+            if self._holding is not None:
+                self._holding.release()
+
+    async def _read_frame(self) -> cluster.Frame | None:
         head = await self._read_exactly(_LENGTH.size)
         if head is None:
             return None
@@ -104,6 +149,8 @@
             raise FrameError(
                 f'frame has {length} bytes; the limit is {FRAME_LIMIT_BYTES}'
             )
+        if self._limits is not None:
+            self._deadline_s = time.monotonic() + self._limits.body_timeout_s
         data = await self._read_exactly(length)
         if data is None:
             raise FrameError('connection closed within a frame')
@@ -130,25 +177,79 @@
                 # A task was cancelled after it had sent a part of its frame.
                 raise ConnectionError('an earlier frame was sent incompletely')
             self._write_incomplete = True
-            await self._socket.sendall(_LENGTH.pack(len(data)) + data)
+            self.sending_since_s = time.monotonic()
+            try:
+                await self._socket.sendall(_LENGTH.pack(len(data)) + data)
+            finally:
+                self.sending_since_s = None
             self._write_incomplete = False
 
     async def close(self) -> None:
         """Closes the socket."""
         await self._socket.close()
 
+    def discard_input(self) -> None:
+        """Frees received data without waiting for the garbage collector."""
+        self._buffer.clear()
+
+    def shut_down(self) -> None:
+        """Shuts down both directions, which wakes tasks that wait for data."""
+        try:
+            with self._socket.blocking() as raw:
+                raw.setblocking(False)
+                raw.shutdown(socket.SHUT_RDWR)
+        except OSError:
+            pass
+
     async def _read_exactly(self, size: int) -> bytes | None:
         while len(self._buffer) < size:
-            data = await self._socket.recv(65536)
+            await self._hold(min(size, len(self._buffer) + READ_BYTES))
+            data = await self._receive()
             if not data:
                 if self._buffer:
                     raise FrameError('connection closed within a frame')
                 return None
             self._buffer += data
-        data = bytes(self._buffer[:size])
+        with memoryview(self._buffer) as view:
+            data = bytes(view[:size])
         del self._buffer[:size]
         return data
 
+    async def _hold(self, size: int) -> None:
+        """Reserves memory for a part of a frame before it is read.
+
+        Raises:
+            BudgetError: If it cannot be reserved.
+        """
+        if self._holding is None:
+            return
+        if self._buffer or self._deadline_s is not None:
+            # A connection that waits for a frame is not an unfinished one.
+            self._holding.set_unfinished(True)
+        if self._holding.resize(max(size, self._holding.held_bytes)):
+            await curio.sleep(0)
+
+    async def _receive(self) -> bytes:
+        if self._limits is None or not (
+            self._buffer or self._deadline_s is not None
+        ):
+            data = await self._socket.recv(READ_BYTES)
+        else:
+            if self._deadline_s is None:
+                self._deadline_s = (
+                    time.monotonic() + self._limits.body_timeout_s
+                )
+            left_s = max(self._deadline_s - time.monotonic(), 0)
+            try:
+                async with curio.timeout_after(left_s):
+                    data = await self._socket.recv(READ_BYTES)
+            except curio.TaskTimeout:
+                self._limits.refusals.add(
+                    budget.Refusal.DEADLINE, source=self.source
+                )
+                raise FrameError('a frame took too long') from None
+        return data
+
 
 def _make_frame(
     kind: messages.MessageKind, call_id: int, reply: bool, body: object
@@ -170,11 +271,24 @@
 
     Args:
         address: `IP:PORT` to listen on.
+        limits: Limits of the process; default ones of its own if None.
     """
 
-    def __init__(self, address: str) -> None:
+    def __init__(
+        self, address: str, *, limits: budget.Limits | None = None
+    ) -> None:
         self._handlers: dict[int, tuple[Handler, bool]] = {}
-        self._listener = listener.Listener(address, self._serve)
+        self._limits = limits or budget.Limits()
+        self._listener = listener.Listener(
+            address,
+            self._serve,
+            limit=self._limits.connections.members,
+            make_room=self._end_oldest,
+        )
+        # Open connections and their number of calls in progress, those that
+        # have waited longest for a frame first.
+        self._streams: dict[FrameStream, int] = {}
+        self._sweeper: curio.Task | None = None
 
     def handle(
         self, request: type, handler: Handler, *, concurrent: bool = False
@@ -192,41 +306,116 @@
     async def start(self) -> None:
         """Starts accepting connections."""
         await self._listener.start()
+        self._sweeper = await curio.spawn(self._sweep, daemon=True)
 
     async def close(self) -> None:
         """Stops accepting and closes all connections."""
         await self._listener.close()
+        if self._sweeper is not None:
+            await self._sweeper.cancel()
+
+    async def _sweep(self) -> None:
+        """Ends connections whose peers do not read their replies."""
+        while True:
+            await curio.sleep(SWEEP_INTERVAL_S)
+            before_s = time.monotonic() - self._limits.send_timeout_s
+            for stream in list(self._streams):
+                since_s = stream.sending_since_s
+                if since_s is not None and since_s < before_s:
+                    self._limits.refusals.add(
+                        budget.Refusal.NOT_READING, source=stream.source
+                    )
+                    stream.shut_down()
+
+    def _end_oldest(self) -> bool:
+        """Ends the connection that has waited longest for a frame.
+
+        Returns:
+            Whether there was one without a call in progress.
+        """
+        for stream, calls in self._streams.items():
+            if calls == 0:
+                self._limits.refusals.add(
+                    budget.Refusal.CONNECTIONS, source=stream.source
+                )
+                del self._streams[stream]
+                stream.shut_down()
+                return True
+        return False
 
     async def _serve(self, client: io.Socket) -> None:
-        stream = FrameStream(client)
+        stream = FrameStream(client, self._limits)
+        slots = curio.Semaphore(CALLS_PER_CONNECTION)
+        self._streams[stream] = 0
         try:
             while (frame := await stream.read()) is not None:
-                await self._dispatch(stream, frame)
+                # The last one to have sent a frame is ended last.
+                if stream in self._streams:
+                    self._streams[stream] = self._streams.pop(stream)
+                await slots.acquire()
+                self._count_call(stream, 1)
+                await self._dispatch(stream, frame, slots)
         except FrameError as error:
             logs.event(_LOG, 'bad_frame', level=logging.WARNING, error=error)
+        finally:
+            self._streams.pop(stream, None)
+            stream.discard_input()
+
+    def _count_call(self, stream: FrameStream, change: int) -> None:
+        if stream in self._streams:
+            self._streams[stream] += change
 
     async def _dispatch(
-        self, stream: FrameStream, frame: cluster.Frame
+        self,
+        stream: FrameStream,
+        frame: cluster.Frame,
+        slots: curio.Semaphore,
     ) -> None:
+        """Handles a call; its slot is free when it has been answered."""
         if frame.reply or frame.kind not in self._handlers:
             raise FrameError(f'unexpected message kind {frame.kind}')
         handler, concurrent = self._handlers[frame.kind]
         if concurrent:
             await curio.spawn(
-                self._answer_concurrently, stream, frame, handler, daemon=True
+                self._answer_concurrently,
+                stream,
+                frame,
+                handler,
+                slots,
+                daemon=True,
             )
-        else:
+            return
+        try:
             await self._answer(stream, frame, handler)
+        finally:
+            self._count_call(stream, -1)
+            await slots.release()
 
     async def _answer_concurrently(
-        self, stream: FrameStream, frame: cluster.Frame, handler: Handler
+        self,
+        stream: FrameStream,
+        frame: cluster.Frame,
+        handler: Handler,
+        slots: curio.Semaphore,
     ) -> None:
+        holding = budget.Holding(
+            self._limits.members, stream.source, stream.shut_down
+        )
         try:
+            holding.resize(len(frame.payload))
             await self._answer(stream, frame, handler)
+        except budget.BudgetError as error:
+            # The caller sees a broken connection and tries again.
+            self._limits.refusals.add(error.refusal, source=stream.source)
+            stream.shut_down()
         except (OSError, FrameError) as error:
             logs.event(_LOG, 'reply_lost', level=logging.DEBUG, error=error)
         except errors.InvariantError as error:
             errors.report_invariant_error(error)
+        finally:
+            holding.release()
+            self._count_call(stream, -1)
+            await slots.release()
 
     async def _answer(
         self, stream: FrameStream, frame: cluster.Frame, handler: Handler
