--- a/banyantrack/tests/test_report_spread.py
+++ b/banyantrack/tests/test_report_spread.py
@@ -68,6 +68,15 @@
         return errors.NotLeaderError(self.leader.address, '')
 
 
+class _FakeLeadership:
+    """Leadership of another member."""
+
+    session = None
+
+    async def propose(self, *_: object) -> None:
+        raise AssertionError('only the leader proposes')
+
+
 class _FakePool:
     """Counts forwarded reports; the leader cannot be reached."""
 
@@ -100,7 +109,7 @@
         api = work_api.WorkApi(
             replica,
             self.state,
-            None,
+            _FakeLeadership(),
             self.pool,
             self.spread(replica, limit=limit),
         )
