--- a/banyantrack/daemons/control.py
+++ b/banyantrack/daemons/control.py
@@ -252,6 +252,10 @@
         self._metrics.gauge('banyan_revision', lambda: self._state.revision)
         self._metrics.gauge('banyan_jobs', lambda: len(self._state.jobs))
         self._metrics.gauge('banyan_claims', lambda: len(self._state.claims))
+        self._metrics.gauge(
+            'banyan_evacuations',
+            lambda: len(self._state.work.evacuations.in_force),
+        )
 
     async def _propose_work(self, command: workload.WorkCommand) -> typing.Any:
         return await self._placement.propose(
--- a/banyantrack/daemons/evacuation_orders.py
+++ b/banyantrack/daemons/evacuation_orders.py
@@ -5,8 +5,11 @@
 import logging
 import typing
 
+import curio
+
 from banyantrack.core import logs
 from banyantrack.generated.workload import ttypes
+from banyantrack.replication import errors as replication_errors
 from banyantrack.workload import evacuations
 
 if typing.TYPE_CHECKING:
@@ -16,6 +19,9 @@
     from banyantrack.replication import replica as replica_module
     from banyantrack.workload import state as state_module
 
+# Time for an order to be committed. A leader that has just been deposed never
+# commits it, and an operator tries other members for 4 s at least.
+ORDER_TIMEOUT_S = 2.0
 _LOG = logging.getLogger(__name__)
 
 
@@ -94,13 +100,18 @@
         # An order that changes nothing is proposed as well, so that its
         # acknowledgement shows that this member still leads, and that no
         # earlier order is applied after it.
-        verdict = await self._propose(
-            ttypes.WorkCommand(
-                evacuation=ttypes.EvacuationCommand(
-                    zone=zone, requester=requester, end=end
-                )
+        command = ttypes.WorkCommand(
+            evacuation=ttypes.EvacuationCommand(
+                zone=zone, requester=requester, end=end
             )
         )
+        try:
+            async with curio.timeout_after(ORDER_TIMEOUT_S):
+                verdict = await self._propose(command)
+        except curio.TaskTimeout:
+            raise replication_errors.UnknownOutcomeError(
+                f'not committed within {ORDER_TIMEOUT_S} s'
+            ) from None
         evacuation = self._state.evacuations.in_force.get(zone)
         workers = [
             worker
--- a/banyantrack/tests/test_evacuations.py
+++ b/banyantrack/tests/test_evacuations.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import copy
+import time
 
 import curio
 import testtools
@@ -20,6 +21,7 @@
 from banyantrack.replication import errors as replication_errors
 from banyantrack.testing import builders as intent_builders
 from banyantrack.testing import fake_placement
+from banyantrack.testing import virtual
 from banyantrack.testing import work_builders as builders
 from banyantrack.testing import work_simulation as simulation
 from banyantrack.workload import evacuations
@@ -346,6 +348,27 @@
         order(self.state, 'hall 4', end=True)
         self.assertFalse(self.begin('hall 4', zones=zones))
 
+    def test_member_that_cannot_commit(self) -> None:
+        # Guards against a call that waits at a deposed leader for as long as
+        # the operator tries at all.
+        class Stuck(_FakeLeadership):
+            async def propose(self, command: ttypes.WorkCommand) -> object:
+                await curio.sleep(60)
+
+        async def main() -> float:
+            api = work_api.WorkApi(
+                self.replica, self.state, Stuck(self.state), None
+            )
+            started_s = time.monotonic()
+            try:
+                await api.evacuations.end('z1', 'operator')
+            except replication_errors.UnknownOutcomeError:
+                return time.monotonic() - started_s
+            return 0.0
+
+        waited_s = virtual.run(main)
+        self.assertTrue(1.0 < waited_s < 3.0, waited_s)
+
     def test_member_that_does_not_lead(self) -> None:
         # Its state may be old, so it must not judge the zone either.
         self.replica.ready = False
