Place work by learned worker speeds

Cause: on a fleet of which a third each run at 0.6, 1.0 and 1.6 times the usual run time, urgent gangs are placed on slow workers, where 1.6 times their run time exceeds their objective of 1.5 times plus 250 ms.

Change: `speeds.WorkerSpeeds` learns the relative speed of each host from the progress of its runs. `speed_placement` places a unit on the slowest workers on which it is in time; an urgent gang waits for them or preempts there. `job_model` has sites with other run time factors and reports progress to the speeds.

--- a/banyantrack/daemons/work_session.py
+++ b/banyantrack/daemons/work_session.py
@@ -15,6 +15,7 @@
 
 import copy
 import dataclasses
+import functools
 import logging
 import time
 import typing
@@ -40,6 +41,7 @@
 from banyantrack.workload import planner as planner_module
 from banyantrack.workload import preemption
 from banyantrack.workload import progress
+from banyantrack.workload import speeds as speeds_module
 from banyantrack.workload import state as state_module
 from banyantrack.workload import worker_client
 
@@ -160,6 +162,11 @@
             remote_factor=options.remote_factor,
             stop_ms=options.stop_ms,
         )
+        self._speeds = speeds_module.WorkerSpeeds(
+            options.speed_spread_min or 0.0
+        )
+        metrics.gauge('banyan_worker_speed_spread', self._speeds.spread)
+        metrics.gauge('banyan_worker_speeds_known', lambda: self._speeds.known)
         self._pacer = pacing.Pacer()
         self._sent_percent: dict[layout.RunId, int] = {}
         self._progress = progress.ProgressWatch()
@@ -391,6 +398,8 @@
             },
             now_s,
         )
+        if self._speeds.enabled:
+            self._observe_speed(worker_id, lease_reply, now_s)
         worst = 0.0
         for running in lease_reply.running:
             self._progress_percent[running.key] = running.percent
@@ -413,6 +422,106 @@
                 worst_share=worst,
             )
 
+    def _observe_speed(
+        self,
+        worker_id: str,
+        lease_reply: worker_client.LeaseReply,
+        now_s: float,
+    ) -> None:
+        """Learns the speed of a worker from the progress of its runs."""
+        worker = self._state.workers.get(worker_id)
+        if worker is None:
+            return
+        runs = []
+        for running in lease_reply.running:
+            record = self._state.jobs.get(running.key.job_id)
+            if record is None:
+                continue
+            step = record.job.steps[running.key.step]
+            # The percent of these tells readiness or a pace that is set here,
+            # or depends on the distance from the data.
+            if step.long_running or step.fills or step.data_rack:
+                continue
+            runs.append(
+                speeds_module.RunSample(
+                    layout.RunId(running.key, running.run),
+                    gang=step.gang,
+                    percent=running.percent,
+                    expected_ms=self._durations.expected_ms(record, step),
+                    began_s=functools.partial(
+                        self._began_s, worker_id, running
+                    ),
+                )
+            )
+        self._speeds.observe(
+            _machine_id(worker),
+            speeds_module.samples(runs),
+            now_s,
+            incarnation=worker.incarnation,
+        )
+
+    def _began_s(
+        self, worker_id: str, running: worker_client.RunningTask
+    ) -> float | None:
+        """Returns the steady time at which a run began to work.
+
+        It is None if the run began from a checkpoint, or if the start of any
+        member of its gang is not confirmed.
+        """
+        key = running.key
+        record = self._state.jobs[key.job_id]
+        members = [(worker_id, key)]
+        if record.job.steps[key.step].gang:
+            tasks = layout.group_tasks(record, key.occurrence, key.step)
+            members = [
+                (task.worker_id, layout.TaskId(*key.group, index))
+                for index, task in enumerate(tasks)
+            ]
+        began_s = float('-inf')
+        for member_worker_id, member in members:
+            link = self._links.get(member_worker_id)
+            task = self._state.task(member)
+            if link is None or task is None or task.checkpoint:
+                return None
+            started_s = link.started_at_s(member, running.run)
+            if started_s is None or started_s == float('-inf'):
+                return None
+            began_s = max(began_s, started_s)
+        return began_s
+
+    def _update_speeds(self) -> None:
+        if not self._speeds.enabled:
+            return
+        if self._speeds.update(clock.steady_s()):
+            logs.event(
+                _LOG,
+                'speeds_used' if self._speeds.in_use else 'speeds_unused',
+                spread=round(self._speeds.spread(), 2),
+                spread_min=self._options.speed_spread_min,
+                known=self._speeds.known,
+            )
+        if not self._speeds.in_use:
+            return
+        for host, speed, deviation in self._speeds.changes():
+            logs.event(
+                _LOG,
+                'worker_speed',
+                host=host,
+                speed=round(speed, 2),
+                deviation=round(deviation, 2),
+            )
+
+    def _speed_factor(self, end: ttypes.RunEnd, step: ttypes.Step) -> float:
+        """Returns the factor from a run time to that at speed 1.0."""
+        worker = self._state.workers.get(end.worker_id)
+        if not self._speeds.in_use or worker is None:
+            return 1.0
+        host = _machine_id(worker)
+        if step.gang:
+            group = layout.task_id(end.task).group
+            return self._speeds.gang_speed(group, host)
+        return self._speeds.speed(host)
+
     # Main loop.
 
     async def run(self) -> None:
@@ -781,6 +890,7 @@
         await self._send_missing_starts()
         await self._send_paces()
         stopping = self._stopping()
+        self._update_speeds()
         fleet = capacity.Fleet(
             self._state,
             stopping=stopping,
@@ -788,6 +898,9 @@
             penalty=self._penalty,
             answered_recently=self._answered_recently,
             remaining_ms=self._remaining_ms,
+            speed=(lambda worker: self._speeds.bounds(_machine_id(worker)))
+            if self._speeds.in_use
+            else None,
         )
         await self._evacuate(fleet)
         for run in await self._upkeep.round(fleet, self._unready_members):
@@ -822,6 +935,7 @@
             worker = fleet.get(worker_id)
             for run in worker.runs if worker is not None else ():
                 expected_ms = self._durations.expected_ms(run.record, run.step)
+                expected_ms /= run.speed
                 if not evacuation.must_evacuate(
                     remaining_ms=availability.remaining_ms(
                         run, expected_ms, now_ms
@@ -877,12 +991,19 @@
                 task='.'.join(map(str, key)),
                 run=start.run,
                 worker=start.worker_id,
+                speed=self._logged_speed(start.worker_id),
             )
             link = self._links.get(start.worker_id)
             if link is not None:
                 await link.start(start)
         self._metrics.counter('banyan_runs_placed').add(len(starts))
 
+    def _logged_speed(self, worker_id: str) -> float | None:
+        worker = self._state.workers.get(worker_id)
+        if not self._speeds.in_use or worker is None:
+            return None
+        return round(self._speeds.speed(_machine_id(worker)), 2)
+
     async def _send_paces(self) -> None:
         """Sends the pace of filling tasks to workers where it changed."""
         alive: set[layout.RunId] = set()
@@ -1024,6 +1145,7 @@
                 end.worker_id, clock.steady_s() - ran_ms / 1000
             )
             if not end.checkpoint:
+                ran_ms *= self._speed_factor(end, step)
                 self._durations.observe(record, step, ran_ms)
         elif end.kind == ttypes.EndKind.FAILED:
             self._failure_times_s.setdefault(end.worker_id, []).append(
--- a/banyantrack/testing/job_model.py
+++ b/banyantrack/testing/job_model.py
@@ -10,6 +10,7 @@
 
 import collections
 import dataclasses
+import functools
 import heapq
 import itertools
 import math
@@ -22,6 +23,7 @@
 from banyantrack.workload import durations as durations_module
 from banyantrack.workload import layout
 from banyantrack.workload import planner as planner_module
+from banyantrack.workload import speeds as speeds_module
 from banyantrack.workload import state as state_module
 from banyantrack.workload import values
 
@@ -43,10 +45,14 @@
 PROGRESS_INTERVAL_MS = 1000.0
 # Factor on the run time of a gang that belongs in one rack and spans several.
 REMOTE_FACTOR = 3.0
+# Interval at which some of the workers report progress.
+PROGRESS_TICK_MS = 100.0
 CHECKPOINT_INTERVAL_MS = 500.0
 RESTORE_DURATION_MS = 100.0
 # Time after the last arrival in which jobs may still finish.
 SETTLE_MS = 14_000.0
+# The same, so that the longest jobs end also on the slowest workers.
+LONG_SETTLE_MS = 60_000.0
 # Length of the windows of arrival of which Verdict.worst reports the worst.
 WINDOW_MS = 2000.0
 # Factors on run times, assigned to workers in turn.
@@ -106,12 +112,16 @@
         workers_per_rack: Number of workers in a rack.
         stop_ms: Longest time that a worker takes to stop a run.
         kinds: Kinds of job.
+        run_time_factors: Factors on run times, assigned to workers in turn.
+        settle_ms: Time after the last arrival in which jobs may still finish.
     """
 
     workers: int
     workers_per_rack: int
     stop_ms: int
     kinds: tuple[JobKind, ...]
+    run_time_factors: tuple[float, ...] = RUN_TIME_FACTORS
+    settle_ms: float = SETTLE_MS
 
 
 def _site(
@@ -187,6 +197,23 @@
         270, 8, 900, ((6.04, 5, 2100), (1.21, 13, 9400), (1.86, 49, 5200))
     ),
 }
+# Workers of three speeds, of two, and all alike, under the same load.
+for _name, _factors in (
+    ('mixed', (0.6, 1.0, 1.6)),
+    ('usual', RUN_TIME_FACTORS),
+    ('even', (1.0,)),
+):
+    SITES[f'exchange-grown-{_name}'] = dataclasses.replace(
+        SITES['exchange-grown'],
+        run_time_factors=_factors,
+        settle_ms=LONG_SETTLE_MS,
+    )
+    SITES[f'exchange-{_name}'] = dataclasses.replace(
+        SITES['exchange'],
+        run_time_factors=_factors,
+        workers_per_rack=12,
+        settle_ms=LONG_SETTLE_MS,
+    )
 
 
 @dataclasses.dataclass(slots=True)
@@ -222,6 +249,8 @@
         start: The order to start it.
         started_ms: When it started.
         duration_ms: Run time unless it is stopped before.
+        own_ms: Time until its progress shows 100; in a gang, it then waits
+            for the slowest member.
         saved_ms: Work that its checkpoint holds.
         fails: Whether it fails at its end.
     """
@@ -229,6 +258,7 @@
     start: ttypes.RunStart
     started_ms: float
     duration_ms: float
+    own_ms: float
     saved_ms: float
     fails: bool
 
@@ -257,6 +287,10 @@
     stops: int
 
 
+def _began_s(run: _SimulatedRun) -> float | None:
+    return None if run.start.checkpoint else run.started_ms / 1000
+
+
 class Simulation:
     """One simulation of a site.
 
@@ -265,10 +299,17 @@
         seed: Seed of arrivals, sizes, run times and failures.
         load: Factor on the usual rate of arrivals.
         length_s: Simulated seconds with arrivals.
+        speed_spread_min: Least spread at which speeds are used; 0 for never.
     """
 
     def __init__(
-        self, site: Site, seed: int, *, load: float, length_s: float
+        self,
+        site: Site,
+        seed: int,
+        *,
+        load: float,
+        length_s: float,
+        speed_spread_min: float = 0.0,
     ) -> None:
         self._rng = random.Random(seed)
         self._site = site
@@ -281,6 +322,8 @@
             remote_factor=REMOTE_FACTOR,
             stop_ms=site.stop_ms,
         )
+        self._speeds = speeds_module.WorkerSpeeds(speed_spread_min)
+        self._progress_ticks = itertools.count()
         self._events: list[tuple[float, int, typing.Any, tuple]] = []
         self._event_numbers = itertools.count()
         self._jobs: dict[str, _SimulatedJob] = {}
@@ -297,7 +340,9 @@
     def run(self) -> Verdict:
         """Runs the simulation to its end."""
         self._schedule(START_MS, self._round)
-        end_ms = self._last_arrival_ms + SETTLE_MS
+        if self._speeds.enabled:
+            self._schedule(START_MS, self._report_progress)
+        end_ms = self._last_arrival_ms + self._site.settle_ms
         while self._events:
             now_ms, _, callback, arguments = heapq.heappop(self._events)
             if now_ms > end_ms:
@@ -317,9 +362,8 @@
         workers = []
         for number in range(self._site.workers):
             name = f'w{number}'
-            self._run_time_factors[name] = RUN_TIME_FACTORS[
-                number % len(RUN_TIME_FACTORS)
-            ]
+            factors = self._site.run_time_factors
+            self._run_time_factors[name] = factors[number % len(factors)]
             rack = f'r{number // self._site.workers_per_rack}'
             workers.append(builders.worker(name, labels=['a', rack]))
         queues = [
@@ -429,6 +473,9 @@
             penalty=lambda _: 0.0,
             answered_recently=lambda _: True,
             remaining_ms=lambda run: self._remaining_ms(run, now_ms),
+            speed=(lambda worker: self._speeds.bounds(worker.worker_id))
+            if self._speeds.in_use
+            else None,
         )
         plan = self._planner.plan(
             fleet,
@@ -444,6 +491,41 @@
             self._state.apply(command, int(now_ms))
             self._start_runs(now_ms + ORDER_DELAY_MS, plan.starts)
 
+    def _report_progress(self, now_ms: float) -> None:
+        """Feeds progress to the speeds; each worker reports in turn."""
+        self._schedule(now_ms + PROGRESS_TICK_MS, self._report_progress)
+        ticks = round(PROGRESS_INTERVAL_MS / PROGRESS_TICK_MS)
+        turn = next(self._progress_ticks) % ticks
+        by_worker: dict[str, list[speeds_module.RunSample]] = {}
+        for run_id, run in self._runs.items():
+            worker = run.start.worker_id
+            if int(worker[1:]) % ticks != turn or now_ms < run.started_ms:
+                continue
+            record = self._state.jobs[run_id.task.job_id]
+            step = record.job.steps[run_id.task.step]
+            by_worker.setdefault(worker, []).append(
+                speeds_module.RunSample(
+                    run_id,
+                    gang=step.gang,
+                    percent=self._percent(run, now_ms),
+                    expected_ms=self._durations.expected_ms(record, step),
+                    began_s=functools.partial(_began_s, run),
+                )
+            )
+        for worker, runs in by_worker.items():
+            self._speeds.observe(
+                worker, speeds_module.samples(runs), now_ms / 1000
+            )
+        self._speeds.update(now_ms / 1000)
+
+    def _percent(self, run: _SimulatedRun, now_ms: float) -> int:
+        """Returns the progress of a run, with the work it began from."""
+        key = layout.task_id(run.start.task)
+        work_ms = self._jobs[key.job_id].work_ms[key.index]
+        saved = min(float(run.start.checkpoint or 0) / work_ms, 1.0)
+        done = (now_ms - run.started_ms) / run.own_ms
+        return min(int(100 * (saved + (1 - saved) * done)), 100)
+
     def _remaining_ms(
         self, live: capacity.RunAllocation, now_ms: float
     ) -> float | None:
@@ -486,6 +568,7 @@
                     start,
                     at_ms,
                     duration_ms,
+                    task_durations_ms[start.task.index],
                     float(start.checkpoint or 0),
                     fails,
                 )
@@ -562,9 +645,20 @@
         kind = ttypes.EndKind.FAILED if run.fails else ttypes.EndKind.DONE
         if not run.fails and not run.start.checkpoint:
             record = self._state.jobs[job.job.job_id]
-            self._durations.observe(record, step, run.duration_ms)
+            ran_ms = run.duration_ms * self._speed_of(run, step)
+            self._durations.observe(record, step, ran_ms)
         self._end(now_ms, run, kind, '')
 
+    def _speed_of(self, run: _SimulatedRun, step: ttypes.Step) -> float:
+        """Returns the speed of a run; for a gang that of its slowest."""
+        if not self._speeds.in_use:
+            return 1.0
+        worker_id = run.start.worker_id
+        if step.gang:
+            group = layout.task_id(run.start.task).group
+            return self._speeds.gang_speed(group, worker_id)
+        return self._speeds.speed(worker_id)
+
     def _end(
         self, now_ms: float, run: _SimulatedRun, kind: int, checkpoint: str
     ) -> None:
@@ -598,7 +692,9 @@
             window = windows.setdefault(number, [0.0, 0.0])
             window[0] += full_value
             window[1] += earned_value
-            last_ms = min(job.finished_ms, self._last_arrival_ms + SETTLE_MS)
+            last_ms = min(
+                job.finished_ms, self._last_arrival_ms + self._site.settle_ms
+            )
             completion_times_ms.append(last_ms - job.submitted_ms)
         shares = sorted(
             earned_value / full_value
--- a/banyantrack/testing/work_builders.py
+++ b/banyantrack/testing/work_builders.py
@@ -154,26 +154,42 @@
     target: state_module.WorkState,
     *,
     stopping: collections.abc.Container[layout.RunId] = (),
-    remaining_ms: float | None = None,
+    remaining_ms: float
+    | collections.abc.Callable[[capacity.RunAllocation], float | None]
+    | None = None,
     penalties: collections.abc.Mapping[str, float] | None = None,
     unchecked: collections.abc.Container[str] = (),
+    speeds: collections.abc.Mapping[str, float] | None = None,
+    sure_speeds: collections.abc.Mapping[str, float] | None = None,
 ) -> capacity.Fleet:
     """Returns the workers of a state, all usable.
 
     Args:
         target: The state.
         stopping: Runs that are stopping.
-        remaining_ms: Estimated remaining time of all runs; None if unknown.
+        remaining_ms: Estimated remaining time of all runs, or returns that of
+            one; None if unknown.
         penalties: Penalties by worker id; 0 for others.
         unchecked: Ids of workers that have not answered recently.
+        speeds: Speeds by worker id; None if they are not used.
+        sure_speeds: Speeds that are reached almost certainly, by worker id;
+            as `speeds` for others.
     """
+
+    def speed(record: ttypes.WorkerRecord) -> tuple[float, float]:
+        found = speeds[record.worker_id]
+        return found, (sure_speeds or {}).get(record.worker_id, found)
+
     return capacity.Fleet(
         target,
         stopping=stopping,
         usable=lambda _: True,
         penalty=lambda worker: (penalties or {}).get(worker.worker_id, 0.0),
         answered_recently=lambda worker: worker.worker_id not in unchecked,
-        remaining_ms=lambda _: remaining_ms,
+        remaining_ms=remaining_ms
+        if callable(remaining_ms)
+        else lambda _: remaining_ms,
+        speed=None if speeds is None else speed,
     )
 
 
@@ -187,6 +203,8 @@
     approvals: collections.abc.Mapping[layout.GroupKey, advice.Approvals]
     | None = None,
     unchecked: collections.abc.Container[str] = (),
+    speeds: collections.abc.Mapping[str, float] | None = None,
+    sure_speeds: collections.abc.Mapping[str, float] | None = None,
 ) -> planner_module.Plan:
     """Runs one round of the planner with all workers usable.
 
@@ -198,6 +216,8 @@
         penalties: Penalties by worker id; 0 for others.
         approvals: Approvals of the policy service by group.
         unchecked: Ids of workers that have not answered recently.
+        speeds: Speeds by worker id; None if they are not used.
+        sure_speeds: Speeds that are reached almost certainly, by worker id.
     """
     planner = planner_module.Planner(
         target,
@@ -212,6 +232,8 @@
             remaining_ms=remaining_ms,
             penalties=penalties,
             unchecked=unchecked,
+            speeds=speeds,
+            sure_speeds=sure_speeds,
         ),
         now_ms=now_ms,
         blocked={},
--- a/banyantrack/workload/capacity.py
+++ b/banyantrack/workload/capacity.py
@@ -86,6 +86,7 @@
         guaranteed: Whether its customer's guarantee covers the job.
         remaining_ms: Remaining run time in milliseconds, extrapolated from
             progress; None if unknown.
+        speed: Speed of its worker.
     """
 
     key: layout.TaskId
@@ -94,6 +95,7 @@
     task: ttypes.TaskRecord
     guaranteed: bool
     remaining_ms: float | None = None
+    speed: float = 1.0
 
 
 @dataclasses.dataclass(eq=False, slots=True)
@@ -113,6 +115,9 @@
         penalty: Weight of recent faults of the worker, at least 0; workers
             with a lower penalty are used first.
         answered_recently: Whether the worker needs no check before a start.
+        speed: Relative speed; a task takes its expected run time divided by
+            this.
+        sure_speed: Speed that the worker reaches almost certainly.
     """
 
     record: ttypes.WorkerRecord
@@ -123,6 +128,8 @@
     runs: list[RunAllocation]
     penalty: float = 0.0
     answered_recently: bool = True
+    speed: float = 1.0
+    sure_speed: float = 1.0
 
     def reserve(self, need: Resources) -> None:
         """Reserves resources for a task."""
@@ -141,6 +148,8 @@
         answered_recently: Returns whether a worker has answered recently.
         remaining_ms: Returns the remaining run time of a run in
             milliseconds; None if unknown.
+        speed: Returns the relative speed of a worker, and the one that it
+            reaches almost certainly; None if speeds are not used.
     """
 
     def __init__(
@@ -154,8 +163,13 @@
             [ttypes.WorkerRecord], bool
         ],
         remaining_ms: collections.abc.Callable[[RunAllocation], float | None],
+        speed: collections.abc.Callable[
+            [ttypes.WorkerRecord], tuple[float, float]
+        ]
+        | None = None,
     ) -> None:
         self._remaining_ms = remaining_ms
+        self._uses_speeds = speed is not None
         self._workers: dict[str, WorkerCapacity] = {}
         self._by_pool: dict[str, list[WorkerCapacity]] = (
             collections.defaultdict(list)
@@ -175,11 +189,20 @@
                 penalty=penalty(worker),
                 answered_recently=answered_recently(worker),
             )
+            if speed is not None:
+                capacity.speed, capacity.sure_speed = speed(worker)
             self._workers[worker.worker_id] = capacity
             self._by_pool[worker.pool].append(capacity)
         covered = guarantees.covered_jobs(state)
         for live in state.all_live_runs():
             self._add_run(live, stopping, live.key.job_id in covered)
+        if self._uses_speeds:
+            self._align_gangs()
+
+    @property
+    def uses_speeds(self) -> bool:
+        """Whether placement depends on the speeds of the workers."""
+        return self._uses_speeds
 
     def get(self, worker_id: str) -> WorkerCapacity | None:
         """Returns the capacity of a worker, or None."""
@@ -224,11 +247,34 @@
         need = resources_of(step)
         capacity.free.subtract(need)
         run = RunAllocation(live.key, live.record, step, live.task, guaranteed)
+        run.speed = capacity.speed
         run.remaining_ms = self._remaining_ms(run)
         capacity.runs.append(run)
         if layout.RunId(live.key, live.task.run) not in stopping:
             capacity.free_after_stops.subtract(need)
 
+    def _align_gangs(self) -> None:
+        """Gives all runs of a gang the remaining time of the slowest.
+
+        A member on a fast worker shows 100 percent until the others are
+        through, and keeps its capacity for as long.
+        """
+        gangs: dict[layout.GroupKey, list[RunAllocation]] = {}
+        for capacity in self._workers.values():
+            for run in capacity.runs:
+                if run.step.gang and run.step.count > 1:
+                    gangs.setdefault(run.key.group, []).append(run)
+        for runs in gangs.values():
+            slowest = min(run.speed for run in runs)
+            known = [
+                run.remaining_ms
+                for run in runs
+                if run.remaining_ms is not None
+            ]
+            for run in runs:
+                run.speed = slowest
+                run.remaining_ms = max(known) if known else None
+
 
 def rack_of(worker: ttypes.WorkerRecord) -> str:
     """Returns the rack from a worker's labels; empty if there is none.
--- a/banyantrack/workload/planner.py
+++ b/banyantrack/workload/planner.py
@@ -21,6 +21,7 @@
 from banyantrack.workload import isolation as isolation_module
 from banyantrack.workload import layout
 from banyantrack.workload import preemption
+from banyantrack.workload import speed_placement
 from banyantrack.workload import units as units_module
 from banyantrack.workload import values as values_module
 
@@ -201,9 +202,11 @@
         if demand is None or fleet.is_mostly_idle(pool):
             return set()
         wait_s = (PREEMPTION_DELAY_MS + self._usual_stop_ms) / 1000
-        return headroom.workers_to_keep_free(
-            fleet.of_pool(pool), demand, wait_s
-        )
+        workers = fleet.of_pool(pool)
+        if fleet.uses_speeds:
+            least = speed_placement.least_urgent_speed(self._state.config)
+            workers = [w for w in workers if w.speed >= least]
+        return headroom.workers_to_keep_free(workers, demand, wait_s)
 
     def _plan_unit(
         self,
@@ -249,6 +252,10 @@
         )
         if apart:
             chosen = _choose_for_suspects(unit, candidates, need, isolation)
+        elif fleet.uses_speeds:
+            chosen = self._choose_by_speed(
+                unit, candidates, need, now_ms, idle
+            )
         else:
             chosen = self._choose(unit, candidates, need, now_ms, idle)
         if unit.step.gang and len(chosen) < len(unit.members):
@@ -293,7 +300,12 @@
         cause = Cause.NO_CAPACITY if candidates else Cause.NO_WORKER
         if unit.priority == 0 and candidates:
             will_fit = self._preempt(
-                plan, unit, candidates, len(unplaced), now_ms, stopping
+                plan,
+                unit,
+                self._preemption_candidates(fleet, unit, candidates, now_ms),
+                len(unplaced),
+                now_ms,
+                stopping,
             )
             cause = (
                 Cause.CAPACITY_BEING_FREED
@@ -309,6 +321,8 @@
         need: capacity.Resources,
         now_ms: int,
         idle: bool,
+        *,
+        by_speed: bool = False,
     ) -> list[capacity.WorkerCapacity]:
         """Returns a worker for each member.
 
@@ -317,7 +331,9 @@
         step = unit.step
         locality_sets = _locality_sets(unit, candidates)
         assignments = [
-            _assign_workers(unit, workers, need, len(unit.members))
+            _assign_by_speed(unit, workers, need, len(unit.members))
+            if by_speed
+            else _assign_workers(unit, workers, need, len(unit.members))
             for workers in locality_sets
         ]
         complete = [a for a in assignments if len(a) == len(unit.members)]
@@ -327,6 +343,7 @@
                 complete,
                 key=lambda a: (
                     _total_penalty(a, failed_on),
+                    speed_placement.cost(unit, a) if by_speed else 0,
                     _free_accelerators(a),
                 ),
             )
@@ -336,7 +353,85 @@
             unit, locality_sets, need, now_ms, idle
         ):
             return [] if step.gang or not assignments else assignments[0]
-        return _assign_workers(unit, candidates, need, len(unit.members))
+        assign = _assign_by_speed if by_speed else _assign_workers
+        return assign(unit, candidates, need, len(unit.members))
+
+    def _choose_by_speed(
+        self,
+        unit: units_module.Unit,
+        candidates: list[capacity.WorkerCapacity],
+        need: capacity.Resources,
+        now_ms: int,
+        idle: bool,
+    ) -> list[capacity.WorkerCapacity]:
+        """Returns a worker for each member, with regard to their speeds.
+
+        Workers on which the unit is in time come first. It waits for them if
+        it is worth more at their end than on other workers now.
+        """
+        count = len(unit.members)
+        fast = candidates
+        chosen: list[capacity.WorkerCapacity] = []
+        for workers in speed_placement.fast_enough(unit, candidates, now_ms):
+            fast = workers
+            chosen = self._choose(
+                unit, workers, need, now_ms, idle, by_speed=True
+            )
+            if len(chosen) == count:
+                return chosen
+        if len(fast) == len(candidates):
+            return self._choose(
+                unit, candidates, need, now_ms, idle, by_speed=True
+            )
+        least = min(worker.speed for worker in fast)
+        wait_ms = self._wait_ms(unit, fast, need, now_ms)
+        if unit.priority == 0:
+            wait_ms = min(wait_ms, PREEMPTION_DELAY_MS + self._usual_stop_ms)
+        value = unit.value_after(wait_ms + unit.expected_ms / least)
+        other = self._choose(
+            unit, candidates, need, now_ms, idle, by_speed=True
+        )
+        if unit.step.gang:
+            if len(other) < count:
+                return []
+            other_ms = speed_placement.run_time_ms(unit, other)
+            return [] if value > unit.value_after(other_ms) else other
+        slowest = [w for w in other if w not in fast]
+        other_ms = speed_placement.run_time_ms(unit, slowest)
+        if value > unit.value_after(other_ms):
+            return chosen
+        return chosen + slowest[: count - len(chosen)]
+
+    def _preemption_candidates(
+        self,
+        fleet: capacity.Fleet,
+        unit: units_module.Unit,
+        candidates: list[capacity.WorkerCapacity],
+        now_ms: int,
+    ) -> list[capacity.WorkerCapacity]:
+        """Returns the workers on which a unit is in time after a stop."""
+        if not fleet.uses_speeds:
+            return candidates
+        fast = speed_placement.fast_enough(
+            unit, candidates, now_ms, self._usual_stop_ms
+        )
+        return fast[-1] if fast else candidates
+
+    def _wait_ms(
+        self,
+        unit: units_module.Unit,
+        workers: list[capacity.WorkerCapacity],
+        need: capacity.Resources,
+        now_ms: int,
+    ) -> float:
+        """Returns the time until a unit fits on workers, in milliseconds."""
+        return availability.time_to_fit_ms(
+            workers,
+            need,
+            len(unit.members),
+            limit=unit.step.max_per_worker,
+            run_remaining_ms=lambda run: self._remaining_ms(run, now_ms),
+        )
 
     def _should_wait_for_locality(
         self,
@@ -377,6 +472,7 @@
 
     def _remaining_ms(self, run: capacity.RunAllocation, now_ms: int) -> float:
         expected_ms = self._durations.expected_ms(run.record, run.step)
+        expected_ms /= run.speed
         return availability.remaining_ms(run, expected_ms, now_ms)
 
     def _preempt(
@@ -600,6 +696,34 @@
     return chosen
 
 
+def _assign_by_speed(
+    unit: units_module.Unit,
+    candidates: list[capacity.WorkerCapacity],
+    need: capacity.Resources,
+    count: int,
+) -> list[capacity.WorkerCapacity]:
+    """Returns up to `count` workers for tasks, the slowest class first."""
+    failed_on = _failed_on(unit)
+
+    def slowest_fit(worker: capacity.WorkerCapacity) -> tuple[float, ...]:
+        return (
+            worker.record.worker_id in failed_on,
+            worker.penalty,
+            speed_placement.speed_class(worker),
+            worker.free.accelerators,
+            worker.free.cpu_milli,
+        )
+
+    return speed_placement.choose(
+        candidates,
+        count,
+        lambda workers: _assign_workers(
+            unit, workers, need, count, order=slowest_fit
+        ),
+        gang=unit.step.gang,
+    )
+
+
 def _failed_on(unit: units_module.Unit) -> set[str]:
     """Returns the ids of workers on which a task of a unit last failed."""
     tasks = layout.group_tasks(unit.record, unit.key.occurrence, unit.key.step)
--- a/schema/settings.thrift
+++ b/schema/settings.thrift
@@ -92,6 +92,9 @@
   12: optional double upkeep_s (default = "2", min = "0", max = "86400")
   // Longest time that a serving task may be over its target.
   13: optional i32 interference_ms (default = "4000", min = "100", max = "600000")
+  // Least ratio of the speeds of the fastest and the slowest tenth of the
+  // workers at which placement uses speeds; 0 for never.
+  17: optional double speed_spread_min (default = "0", min = "0", max = "1000")
 }
 
 // The platform's interface of an entry.
