--- a/schema/settings.thrift
+++ b/schema/settings.thrift
@@ -103,6 +103,9 @@
   // Workers above which they report to all members in turn, not only to the
   // leader.
   23: optional i32 leader_reports (default = "500", min = "0", max = "1000000")
+  // Least ratio of the speeds of the fastest and the slowest tenth of the
+  // workers at which placement uses speeds; 0 for never.
+  17: optional double speed_spread_min (default = "0", min = "0", max = "1000")
 }
 
 // The platform's interface of an entry.
