--- a/banyantrack/tests/test_evacuations.py
+++ b/banyantrack/tests/test_evacuations.py
@@ -358,7 +358,7 @@
 
         async def main() -> float:
             api = work_api.WorkApi(
-                self.replica, self.state, Stuck(self.state), None
+                self.replica, self.state, Stuck(self.state), None, None
             )
             started_s = time.monotonic()
             try:
