Descriptors kept for files and members; ends of daemons; units of the limits

EMFILE and ENFILE count as a passing error of the storage, and a folder is opened before the change that it syncs. Daemons close their listeners after a failure as well; the assertion of the event loop is logged and no longer replaces the exit code. JSON bodies have at most 1,000,000 values. A call in progress counts 8 KiB. The soak holds crowds beside its faults.

--- a/banyantrack/cli/daemon.py
+++ b/banyantrack/cli/daemon.py
@@ -77,8 +77,26 @@
         The exit code.
     """
     errors.set_invariant_hook(_exit_on_invariant_error)
+    exit_codes: list[Exit] = []
     try:
-        curio.run(_run, create)
+        curio.run(_run, create, exit_codes)
+    except AssertionError as error:
+        # Raised by the event loop if a task started another one while all
+        # were being cancelled. The daemon has ended before.
+        if not exit_codes:
+            raise
+        logs.event(
+            _LOG, 'shutdown_incomplete', level=logging.WARNING, error=error
+        )
+    return exit_codes[0]
+
+
+async def _run(
+    create: collections.abc.Callable[[], Daemon], exit_codes: list[Exit]
+) -> None:
+    """Runs a daemon and appends its exit code."""
+    try:
+        await _run_until_stopped(create)
     except (errors.BanyanError, OSError, ExceptionGroup) as error:
         logs.event(
             _LOG,
@@ -87,8 +105,9 @@
             type=type(error).__name__,
             error=error,
         )
-        return Exit.REFUSED
-    return Exit.DONE
+        exit_codes.append(Exit.REFUSED)
+    else:
+        exit_codes.append(Exit.DONE)
 
 
 def _exit_on_invariant_error(error: errors.InvariantError) -> None:
@@ -98,7 +117,9 @@
     os._exit(Exit.REFUSED)
 
 
-async def _run(create: collections.abc.Callable[[], Daemon]) -> None:
+async def _run_until_stopped(
+    create: collections.abc.Callable[[], Daemon],
+) -> None:
     stop = curio.Event()
     daemon = create()
     watcher = await curio.spawn(_watch_signals, stop, daemon=True)
--- a/banyantrack/daemons/control.py
+++ b/banyantrack/daemons/control.py
@@ -199,23 +199,27 @@
             rpc_address=self._settings.rpc_address,
             http_address=self._settings.http_address,
         )
-        async with curio.TaskGroup(wait=any) as tasks:
-            replica_task = await tasks.spawn(self._replica.run)
-            placement_task = await tasks.spawn(self._placement.run)
-            background = [replica_task, placement_task]
+        try:
+            async with curio.TaskGroup(wait=any) as tasks:
+                replica_task = await tasks.spawn(self._replica.run)
+                placement_task = await tasks.spawn(self._placement.run)
+                background = [replica_task, placement_task]
+                if self._platform is not None:
+                    background.append(await tasks.spawn(self._platform.run))
+                    background.append(await tasks.spawn(self._locator.run))
+                await tasks.spawn(self._wait_stop, stop, server)
+            for task in background:
+                if isinstance(task.exception, Exception):
+                    raise task.exception
+        finally:
+            # After a failure as well: a connection that is accepted while the
+            # event loop ends its tasks would fail its shutdown.
+            await server.close()
             if self._platform is not None:
-                background.append(await tasks.spawn(self._platform.run))
-                background.append(await tasks.spawn(self._locator.run))
-            await tasks.spawn(self._wait_stop, stop, server)
-        for task in background:
-            if isinstance(task.exception, Exception):
-                raise task.exception
-        await server.close()
-        if self._platform is not None:
-            await self._platform.close()
-        await rpc_server.close()
-        await self._pool.close()
-        self._storage.close()
+                await self._platform.close()
+            await rpc_server.close()
+            await self._pool.close()
+            self._storage.close()
         logs.event(_LOG, 'stopped', name=self._settings.name)
 
     async def _wait_stop(
--- a/banyantrack/daemons/entry.py
+++ b/banyantrack/daemons/entry.py
@@ -146,25 +146,29 @@
             http_address=settings.http_address,
             rpc_address=settings.rpc_address,
         )
-        async with curio.TaskGroup(wait=any) as tasks:
-            background = [
-                await tasks.spawn(work)
-                for work in (
-                    self._config_watcher.run,
-                    self._follow_config,
-                    self._gossip.run,
-                    self._timers.run,
-                )
-            ]
-            await tasks.spawn(self._wait_stop, stop, server)
-        for task in background:
-            if isinstance(task.exception, Exception):
-                raise task.exception
-        await server.close()
-        await rpc_server.close()
-        await self._pool.close()
-        await self._rpc_pool.close()
-        await self._watch_pool.close()
+        try:
+            async with curio.TaskGroup(wait=any) as tasks:
+                background = [
+                    await tasks.spawn(work)
+                    for work in (
+                        self._config_watcher.run,
+                        self._follow_config,
+                        self._gossip.run,
+                        self._timers.run,
+                    )
+                ]
+                await tasks.spawn(self._wait_stop, stop, server)
+            for task in background:
+                if isinstance(task.exception, Exception):
+                    raise task.exception
+        finally:
+            # After a failure as well: a connection that is accepted while the
+            # event loop ends its tasks would fail its shutdown.
+            await server.close()
+            await rpc_server.close()
+            await self._pool.close()
+            await self._rpc_pool.close()
+            await self._watch_pool.close()
         logs.event(_LOG, 'stopped', name=settings.name)
 
     async def _start_timers(self) -> None:
--- a/banyantrack/daemons/entry_platform.py
+++ b/banyantrack/daemons/entry_platform.py
@@ -101,18 +101,22 @@
             name=self._settings.name,
             address=self._settings.platform.address,
         )
-        async with curio.TaskGroup(wait=any) as tasks:
-            background = [
-                await tasks.spawn(work)
-                for work in (self._locator.run, self._gateway.run)
-            ]
-            await tasks.spawn(self._wait_stop, stop)
-        for task in background:
-            if isinstance(task.exception, Exception):
-                raise task.exception
-        await self._server.close()
-        await self._metrics_server.close()
-        await self._pool.close()
+        try:
+            async with curio.TaskGroup(wait=any) as tasks:
+                background = [
+                    await tasks.spawn(work)
+                    for work in (self._locator.run, self._gateway.run)
+                ]
+                await tasks.spawn(self._wait_stop, stop)
+            for task in background:
+                if isinstance(task.exception, Exception):
+                    raise task.exception
+        finally:
+            # After a failure as well: a connection that is accepted while the
+            # event loop ends its tasks would fail its shutdown.
+            await self._server.close()
+            await self._metrics_server.close()
+            await self._pool.close()
         logs.event(_LOG, 'stopped', name=self._settings.name)
 
     async def _wait_stop(self, stop: curio.Event) -> None:
--- a/banyantrack/platform/wire.py
+++ b/banyantrack/platform/wire.py
@@ -11,6 +11,9 @@
 
 JSON_TYPE = [(b'content-type', b'application/json')]
 # Numbers are stored as signed 64-bit integers, if not as 32-bit ones.
+# A decoded empty list takes 64 bytes for 3 of its text. A report of 4 MiB
+# reaches this number only with less than 5 bytes for each value.
+MAX_VALUES = 1_000_000
 MAX_INT64 = 2**63 - 1
 MAX_INT32 = 2**31 - 1
 # Largest valid number of characters of a text without a limit of its own.
@@ -170,6 +173,12 @@
 
 def parse(body: bytes, found: findings.Findings) -> Fields | None:
     """Returns the fields of a JSON body; None if it is not valid JSON."""
+    values_at_most = sum(body.count(mark) for mark in (b',', b'[', b'{'))
+    if values_at_most > MAX_VALUES:
+        found.add(
+            'body', f'got over {MAX_VALUES} values; valid are at most that'
+        )
+        return None
     try:
         values = json.loads(body)
     except (ValueError, RecursionError) as error:
--- a/banyantrack/replication/files.py
+++ b/banyantrack/replication/files.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import collections.abc
+import contextlib
 import dataclasses
 import errno
 import os
@@ -20,6 +21,10 @@
 
 FORMAT_VERSION = 1
 RECORD_LIMIT_BYTES = 64 * 1024 * 1024
+# No space, or no descriptor to open a file; a later attempt may succeed.
+_PASSING_ERRNOS = frozenset(
+    (errno.ENOSPC, errno.EDQUOT, errno.EMFILE, errno.ENFILE)
+)
 _RECORD_MAGIC = b'\xb7\x1e'
 _RECORD_HEADER = struct.Struct('>2sII')
 _FILE_HEADER = struct.Struct('>4sI')
@@ -148,21 +153,46 @@
         raise errors.StorageError(f'sync failed: {error}') from error
 
 
-def sync_folder(folder: pathlib.Path) -> None:
-    """Syncs the directory entries of a folder to disk.
+@contextlib.contextmanager
+def synced_folder(
+    folder: pathlib.Path,
+) -> collections.abc.Iterator[None]:
+    """Syncs the directory entries of a folder to disk after a change.
+
+    The folder is opened before the change, which is not made if no descriptor
+    is left.
 
     Raises:
+        DiskFullError: If the folder cannot be opened now; nothing is changed.
         StorageError: If the sync fails.
     """
-    descriptor = os.open(folder, os.O_RDONLY | os.O_DIRECTORY)
     try:
-        os.fsync(descriptor)
+        descriptor = os.open(folder, os.O_RDONLY | os.O_DIRECTORY)
     except OSError as error:
-        raise errors.StorageError(f'{folder}: sync failed: {error}') from error
+        raise storage_error(folder, error) from error
+    try:
+        yield
+        try:
+            os.fsync(descriptor)
+        except OSError as error:
+            raise errors.StorageError(
+                f'{folder}: sync failed: {error}'
+            ) from error
     finally:
         os.close(descriptor)
 
 
+def sync_folder(folder: pathlib.Path) -> None:
+    """Syncs the directory entries of a folder to disk.
+
+    Raises:
+        DiskFullError: If the folder cannot be opened now.
+        StorageError: If the sync fails.
+    """
+    with synced_folder(folder):
+        pass
+
+
 def replace_file(path: pathlib.Path, content: bytes) -> None:
     """Replaces a file atomically: a crash leaves the old or the new one.
 
@@ -171,20 +201,24 @@
         StorageError: If it cannot be written.
     """
     temporary = path.with_name(path.name + '.new')
-    try:
-        with temporary.open('wb') as file:
-            file.write(content)
-            file.flush()
-            sync_file(file.fileno())
-        temporary.replace(path)
-    except OSError as error:
-        raise storage_error(path, error) from error
-    sync_folder(path.parent)
+    with synced_folder(path.parent):
+        try:
+            with temporary.open('wb') as file:
+                file.write(content)
+                file.flush()
+                sync_file(file.fileno())
+            temporary.replace(path)
+        except OSError as error:
+            raise storage_error(path, error) from error
 
 
 def storage_error(path: pathlib.Path, error: OSError) -> errors.StorageError:
-    """Returns the error of this package for a failed write."""
-    if error.errno in (errno.ENOSPC, errno.EDQUOT):
+    """Returns the error of this package for a failed write.
+
+    A file that cannot be opened for lack of descriptors leaves the existing
+    data intact, as one without space does.
+    """
+    if error.errno in _PASSING_ERRNOS:
         return errors.DiskFullError(f'{path}: {error}')
     return errors.StorageError(f'{path}: {error}')
 
--- a/banyantrack/replication/storage.py
+++ b/banyantrack/replication/storage.py
@@ -209,11 +209,11 @@
         for path in self._folder.glob(SNAPSHOT_GLOB):
             if path != self._snapshot_path(header):
                 path.unlink()
-        self._log.compact(keep_after)
         try:
+            self._log.compact(keep_after)
             self._log.rotate()
         except errors.DiskFullError as error:
-            # The next snapshot rotates the log.
+            # The next snapshot compacts and rotates the log.
             logs.event(
                 _LOG,
                 'segment_not_rotated',
--- a/banyantrack/replication/wal.py
+++ b/banyantrack/replication/wal.py
@@ -242,7 +242,13 @@
         files.sync_folder(self._folder)
 
     def compact(self, index: int) -> None:
-        """Drops segments without entries after an index."""
+        """Drops segments without entries after an index.
+
+        Raises:
+            DiskFullError: If the folder cannot be opened now; some segments
+                may stay.
+            StorageError: If the folder cannot be synced.
+        """
         dropped = False
         while len(self._segments) > 1:
             start = self._segments[1].first_index - 1
@@ -298,12 +304,12 @@
             # Synced, so that only the last segment can have a torn record.
             self._sync(self._descriptor)
         path = segment_path(self._folder, self._next_number)
-        descriptor = self._create_segment_file(path)
-        self._close_descriptor()
-        self._descriptor = descriptor
-        self._next_number += 1
-        self._segments.append(_Segment(path, first_index))
-        files.sync_folder(self._folder)
+        with files.synced_folder(self._folder):
+            descriptor = self._create_segment_file(path)
+            self._close_descriptor()
+            self._descriptor = descriptor
+            self._next_number += 1
+            self._segments.append(_Segment(path, first_index))
 
     def _create_segment_file(self, path: pathlib.Path) -> int:
         """Creates a segment that holds only its header.
--- a/banyantrack/testing/platform_soak.py
+++ b/banyantrack/testing/platform_soak.py
@@ -4,8 +4,9 @@
 signals and started without their data, in overlapping sequences. Executors
 are reached through proxies that delay, reset or block connections in one or
 both directions. Some tasks crash the executors that start them, and executors
-shrink and grow. The observations of callers, executors and the operator are
-checked against the guarantees of the system.
+shrink and grow. Crowds of clients stall within their requests. The
+observations of callers, executors and the operator are checked against the
+guarantees of the system.
 """
 
 from __future__ import annotations
@@ -15,6 +16,7 @@
 import copy
 import dataclasses
 import enum
+import functools
 import json
 import os
 import pathlib
@@ -30,6 +32,7 @@
 from banyantrack.testing import fault_proxy
 from banyantrack.testing import platform_system
 from banyantrack.testing import system
+from banyantrack.testing import untrusted_clients
 
 # Ranges of the delays between faults and between submissions.
 FAULT_PAUSE_S = (0.3, 1.5)
@@ -43,6 +46,11 @@
 # Share of the jobs with a task that crashes each executor that starts it.
 CRASHING_SHARE = 0.03
 ACCELERATORS = 8
+# Clients of a crowd, and the largest body that each stops sending before its
+# end.
+CROWD_CLIENTS = 20
+CROWD_BODY_BYTES = 1024 * 1024
+CROWD_TARGET = '/v1/instances/i-99'
 # A group of five tolerates the loss of two members.
 MAX_DOWN_MEMBERS = 2
 FINISHED_STATES = ('completed', 'failed', 'cancelled')
@@ -96,6 +104,7 @@
         self, seed: int, seconds: float, folder: pathlib.Path
     ) -> None:
         self._rng = random.Random(seed)
+        self._seed = seed
         self._seconds = seconds
         self._system = platform_system.PlatformSystem(
             folder,
@@ -111,6 +120,7 @@
         self._down_members: set[str] = set()
         self._faults_over = False
         self.faults: collections.Counter[str] = collections.Counter()
+        self.crowds = 0
         self.broken: list[str] = []
 
     @property
@@ -137,6 +147,7 @@
             'alone': len(self._system.observer.alone),
             'crashes': dict(self._system.observer.crashes),
             'faults': dict(self.faults),
+            'crowds': self.crowds,
             'broken': self.broken,
         }
 
@@ -150,6 +161,7 @@
                 for loop in (self._submit_jobs, self._change_configs)
             ]
             supervisor = await curio.spawn(self._supervise, daemon=True)
+            tasks.append(await curio.spawn(self._hold_crowds))
             await self._inject_faults()
             self._faults_over = True
             await self._end_faults()
@@ -273,6 +285,30 @@
         else:
             await self._inject_control_fault(fault)
 
+    async def _hold_crowds(self) -> None:
+        """Holds one crowd of stalling clients after the other.
+
+        Not part of the schedule of faults, so that earlier seeds keep theirs.
+        """
+        rng = random.Random(self._seed)
+        while not self._faults_over:
+            body_bytes = rng.randint(2, CROWD_BODY_BYTES)
+            crowd = untrusted_clients.Crowd(
+                rng.choice([self._system.entry_address, *self._system.seeds]),
+                CROWD_CLIENTS,
+                functools.partial(
+                    untrusted_clients.sized_body,
+                    'PUT',
+                    CROWD_TARGET,
+                    declared=body_bytes,
+                    sent=body_bytes - 1,
+                ),
+            )
+            self.crowds += 1
+            await crowd.send()
+            await curio.sleep(rng.uniform(0.5, 2.0))
+            await crowd.close()
+
     async def _supervise(self) -> None:
         """Restarts daemons that ended without a fault of the schedule."""
         while True:
--- a/banyantrack/tests/test_platform_wire.py
+++ b/banyantrack/tests/test_platform_wire.py
@@ -86,6 +86,13 @@
         decoded = config.parse_config(body, found)
         self.check(decoded, found)
 
+    def test_values_that_take_much_more_memory_than_their_text(self) -> None:
+        """8 MiB of empty lists took 204 MB once decoded."""
+        body = b'[' + b'[],' * (wire.MAX_VALUES // 2) + b'[]]'
+        found = findings.Findings()
+        self.assertIsNone(wire.parse(body, found))
+        self.assertIn('values', str(found.found[0]))
+
     @hypothesis.given(bodies(JOB))
     def test_job(self, body: bytes) -> None:
         found = findings.Findings()
--- a/banyantrack/tests/test_untrusted_callers.py
+++ b/banyantrack/tests/test_untrusted_callers.py
@@ -9,6 +9,7 @@
 
 import functools
 import pathlib
+import resource
 import struct
 import tempfile
 import typing
@@ -40,6 +41,7 @@
 ENTRY_MEMORY_MB = 90.0
 CONTROL_MEMORY_MB = 110.0
 DESCRIPTORS = 256
+FEW_DESCRIPTORS = 100
 ENTRY_CROWD = 150
 CONTROL_CROWD = 30
 REPORTING_CROWD = 400
@@ -312,3 +314,65 @@
     def test_idle_connections_of_rpc(self) -> None:
         """Idle connections take all descriptors of members and entries."""
         self.run_crowd('rpc', IDLE_CROWD, lambda: ())
+
+
+class TestDescriptors(UntrustedTest):
+    """Connections leave descriptors for files and members."""
+
+    def test_connections_take_no_descriptors_of_files(self) -> None:
+        """A member that could not open a file for a snapshot ended."""
+
+        async def main(folder: str) -> None:
+            system = platform_system.PlatformSystem(
+                pathlib.Path(folder), control=1, executors=1
+            )
+            limits = {
+                'descriptors': FEW_DESCRIPTORS,
+                'file_descriptors': FEW_DESCRIPTORS // 4,
+            }
+            for process in system.processes:
+                process.settings['limits'] = limits
+                process.write()
+            member = system.control[0]
+            member.settings['replication'] = {'snapshot_entries': 10}
+            member.write()
+            async with system.running():
+                for process in system.processes:
+                    resource.prlimit(
+                        process.pid,
+                        resource.RLIMIT_NOFILE,
+                        (FEW_DESCRIPTORS, FEW_DESCRIPTORS),
+                    )
+                crowds = [
+                    untrusted_clients.Crowd(
+                        address, 2 * FEW_DESCRIPTORS, lambda: ()
+                    )
+                    for address in (
+                        system.seeds[0],
+                        member.rpc_address,
+                        system.entry_address,
+                    )
+                ]
+                try:
+                    for crowd in crowds:
+                        await crowd.send()
+                    # Each job makes entries of the log, and snapshots.
+                    for number in range(20):
+                        await system.submit(
+                            'usual', f'{number:016x}', {'count': 1, 'gpu': 1}
+                        )
+                    for process in system.processes:
+                        self.assertTrue(process.running, system.log_text())
+                    await self._check_served(system)
+                finally:
+                    for crowd in crowds:
+                        await crowd.close()
+                self.assertIn('snapshot', ' '.join(_names(folder)))
+            self.assertNotIn('Traceback', system.log_text())
+
+        with tempfile.TemporaryDirectory() as folder:
+            curio.run(main, folder)
+
+
+def _names(folder: str) -> list[str]:
+    return [path.name for path in pathlib.Path(folder).rglob('*')]
--- a/banyantrack/transport/budget.py
+++ b/banyantrack/transport/budget.py
@@ -22,6 +22,7 @@
 import typing
 
 from banyantrack.core import logs
+from banyantrack.transport import descriptors as descriptors_module
 from banyantrack.transport import http
 
 if typing.TYPE_CHECKING:
@@ -450,6 +451,8 @@
     system_limit = resource.getrlimit(resource.RLIMIT_NOFILE)[0]
     if system_limit != resource.RLIM_INFINITY:
         descriptors = min(descriptors or system_limit, system_limit)
+    descriptors = descriptors or 2 * MAX_CONNECTIONS
+    descriptors_module.LIMIT.set(descriptors, settings.file_descriptors)
     refusals = Refusals(metrics)
     clients, members = buffered_limits(
         settings.buffered_bytes, settings.memory_mb
@@ -459,7 +462,7 @@
         members=ByteBudget(members, 1.0, refusals),
         refusals=refusals,
         connections=connection_limits(
-            descriptors or 2 * MAX_CONNECTIONS,
+            descriptors,
             settings.file_descriptors,
             settings.memory_mb,
         ),
--- a/banyantrack/transport/listener.py
+++ b/banyantrack/transport/listener.py
@@ -14,6 +14,7 @@
 from banyantrack.core import errors
 from banyantrack.core import logs
 from banyantrack.transport import addresses
+from banyantrack.transport import descriptors
 
 BACKLOG = 1024
 # Delay after a transient accept error, such as running out of file descriptors
@@ -68,6 +69,7 @@
             the backlog.
         make_room: Ends one connection for a new one; returns whether it
             found one. None if connections are never ended for others.
+        member: Whether connections may use the descriptors kept for members.
     """
 
     def __init__(
@@ -77,7 +79,9 @@
         *,
         limit: int = 10_000,
         make_room: MakeRoom | None = None,
+        member: bool = False,
     ) -> None:
+        self._member = member
         self._make_room = make_room
         self._limit_logged_at_s = float('-inf')
         self._address = address
@@ -117,6 +121,9 @@
             await self._wait_below_limit()
             try:
                 client, _ = await self._socket.accept()
+                with client.blocking() as raw:
+                    raw.setblocking(False)
+                    descriptors.LIMIT.check(raw, member=self._member)
             except OSError as error:
                 if error.errno not in _TRANSIENT_ERRNOS:
                     raise
--- a/banyantrack/transport/rpc.py
+++ b/banyantrack/transport/rpc.py
@@ -26,6 +26,7 @@
 from banyantrack.generated.cluster import ttypes as cluster
 from banyantrack.transport import addresses
 from banyantrack.transport import budget
+from banyantrack.transport import descriptors
 from banyantrack.transport import listener
 from banyantrack.transport import messages
 
@@ -36,6 +37,8 @@
 UNACKNOWLEDGED_TIMEOUT_MS = 3000
 # Calls of one connection that are handled at once; further ones are not read.
 CALLS_PER_CONNECTION = 512
+# What a call in progress takes besides its payload: its task and its request.
+CALL_OVERHEAD_BYTES = 8 * 1024
 # Frames of a connection after which other tasks run.
 FRAMES_PER_SLICE = 32
 READ_BYTES = 64 * 1024
@@ -284,6 +287,7 @@
             self._serve,
             limit=self._limits.connections.members,
             make_room=self._end_oldest,
+            member=True,
         )
         # Open connections and their number of calls in progress, those that
         # have waited longest for a frame first.
@@ -402,7 +406,7 @@
             self._limits.members, stream.source, stream.shut_down
         )
         try:
-            holding.resize(len(frame.payload))
+            holding.resize(CALL_OVERHEAD_BYTES + len(frame.payload))
             await self._answer(stream, frame, handler)
         except budget.BudgetError as error:
             # The caller sees a broken connection and tries again.
@@ -560,7 +564,7 @@
         async with self._connect_lock:
             if self._stream is None:
                 sock = await connect(
-                    self._address, timeout_s=CONNECT_TIMEOUT_S
+                    self._address, timeout_s=CONNECT_TIMEOUT_S, member=True
                 )
                 self._stream = FrameStream(sock)
                 self._reader = await curio.spawn(
@@ -596,12 +600,15 @@
             await call.event.set()
 
 
-async def connect(address: str, *, timeout_s: float) -> io.Socket:
+async def connect(
+    address: str, *, timeout_s: float, member: bool = False
+) -> io.Socket:
     """Opens a TCP connection.
 
     Args:
         address: `IP:PORT`.
         timeout_s: Seconds until the attempt is aborted.
+        member: Whether it may use the descriptors kept for members.
 
     Raises:
         OSError: If the connection fails; `TimeoutError` after `timeout_s`.
@@ -611,6 +618,7 @@
     except ValueError as error:
         raise OSError(errno.EINVAL, f'{address!r}: {error}') from error
     raw = socket.socket(parsed.family, socket.SOCK_STREAM)
+    descriptors.LIMIT.check(raw, member=member)
     raw.setblocking(False)
     raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
     raw.setsockopt(
