Reduce the cost of placement by speeds

Cause: with speeds a round of a busy pool took 30.3 ms instead of 17.5 ms (176 workers, 95 % busy, four units): sets of workers were searched several times, and waits for all racks were estimated for each.

Change: workers without free capacity are dropped first, sets that are too small at once; an urgent gang that can still be in time after a preemption waits without a search among slower workers. Speeds are cached. Estimates decay in five minutes instead of one, with a limit on their weight.

--- a/banyantrack/tests/test_speeds.py
+++ b/banyantrack/tests/test_speeds.py
@@ -174,9 +174,10 @@
         # Another process on the host may get another share of its machine.
         traffic = Traffic(speeds_module.WorkerSpeeds(1.5), SPEEDS)
         traffic.run_rounds(6)
-        _, sure = traffic.speeds.bounds('w1')
+        before, sure = traffic.speeds.bounds('w1')
         traffic.speeds.observe('w1', [], traffic.now_s, incarnation=2)
-        _, sure_after = traffic.speeds.bounds('w1')
+        after, sure_after = traffic.speeds.bounds('w1')
+        self.assertAlmostEqual(before, after, 0)
         self.assertLess(sure_after, sure)
 
     def test_worker_that_becomes_slow_and_recovers(self) -> None:
--- a/banyantrack/workload/planner.py
+++ b/banyantrack/workload/planner.py
@@ -129,6 +129,7 @@
         self._values = values_module.JobValues()
         self._remote_factor = remote_factor
         self._usual_stop_ms = USUAL_STOP_SHARE * stop_ms
+        self._usual_preemption_ms = PREEMPTION_DELAY_MS + self._usual_stop_ms
 
     def plan(
         self,
@@ -370,37 +371,38 @@
         it is worth more at their end than on other workers now.
         """
         count = len(unit.members)
-        fast = candidates
         chosen: list[capacity.WorkerCapacity] = []
+        fast = candidates
         for workers in speed_placement.fast_enough(unit, candidates, now_ms):
             fast = workers
-            chosen = self._choose(
-                unit, workers, need, now_ms, idle, by_speed=True
-            )
+            chosen = _assign_locally_by_speed(unit, workers, need)
             if len(chosen) == count:
                 return chosen
         if len(fast) == len(candidates):
             return self._choose(
                 unit, candidates, need, now_ms, idle, by_speed=True
             )
-        least = min(worker.speed for worker in fast)
-        wait_ms = self._wait_ms(unit, fast, need, now_ms)
-        if unit.priority == 0:
-            wait_ms = min(wait_ms, PREEMPTION_DELAY_MS + self._usual_stop_ms)
-        value = unit.value_after(wait_ms + unit.expected_ms / least)
+        if unit.priority == 0 and speed_placement.fast_enough(
+            unit, candidates, now_ms, self._usual_preemption_ms
+        ):
+            return [] if unit.step.gang else chosen
         other = self._choose(
             unit, candidates, need, now_ms, idle, by_speed=True
         )
+        if unit.step.gang and len(other) < count:
+            return []
+        slower = (
+            other if unit.step.gang else [w for w in other if w not in fast]
+        )
+        wait_ms = self._wait_ms(unit, fast, need, now_ms)
+        value = unit.value_after(
+            wait_ms + speed_placement.run_time_ms(unit, fast)
+        )
+        if value > unit.value_after(speed_placement.run_time_ms(unit, slower)):
+            return [] if unit.step.gang else chosen
         if unit.step.gang:
-            if len(other) < count:
-                return []
-            other_ms = speed_placement.run_time_ms(unit, other)
-            return [] if value > unit.value_after(other_ms) else other
-        slowest = [w for w in other if w not in fast]
-        other_ms = speed_placement.run_time_ms(unit, slowest)
-        if value > unit.value_after(other_ms):
-            return chosen
-        return chosen + slowest[: count - len(chosen)]
+            return other
+        return chosen + slower[: count - len(chosen)]
 
     def _preemption_candidates(
         self,
@@ -696,13 +698,49 @@
     return chosen
 
 
+def _assign_locally_by_speed(
+    unit: units_module.Unit,
+    candidates: list[capacity.WorkerCapacity],
+    need: capacity.Resources,
+) -> list[capacity.WorkerCapacity]:
+    """Returns workers for the members of a unit in one locality set.
+
+    The list is shorter than the members if capacity is lacking.
+    """
+    assignments = [
+        _assign_by_speed(unit, workers, need, len(unit.members))
+        for workers in _locality_sets(unit, candidates)
+    ]
+    complete = [a for a in assignments if len(a) == len(unit.members)]
+    if not complete:
+        return max(assignments, key=len, default=[])
+    failed_on = _failed_on(unit)
+    return min(
+        complete,
+        key=lambda a: (
+            _total_penalty(a, failed_on),
+            speed_placement.cost(unit, a),
+            _free_accelerators(a),
+        ),
+    )
+
+
 def _assign_by_speed(
     unit: units_module.Unit,
     candidates: list[capacity.WorkerCapacity],
     need: capacity.Resources,
     count: int,
 ) -> list[capacity.WorkerCapacity]:
-    """Returns up to `count` workers for tasks, the slowest class first."""
+    """Returns up to `count` workers for tasks, the slowest class first.
+
+    Returns:
+        Nothing if the free accelerators do not cover all members of a gang.
+    """
+    if unit.step.gang and need.accelerators:
+        free = sum(worker.free.accelerators for worker in candidates)
+        if free < need.accelerators * count:
+            return []
+    candidates = [w for w in candidates if w.free.covers(need)]
     failed_on = _failed_on(unit)
 
     def slowest_fit(worker: capacity.WorkerCapacity) -> tuple[float, ...]:
--- a/banyantrack/workload/speed_placement.py
+++ b/banyantrack/workload/speed_placement.py
@@ -14,6 +14,7 @@
 
 from __future__ import annotations
 
+import functools
 import math
 import typing
 
@@ -38,13 +39,18 @@
 MAX_MISMATCH = 1.25
 # Longest wait for faster workers of a job that its customer's guarantee
 # covers; it must begin within about three seconds.
-GUARANTEED_WAIT_MS = 1200.0
+GUARANTEED_WAIT_MS = 1500.0
 _LOG_CLASS_WIDTH = math.log(CLASS_WIDTH)
 
 
 def speed_class(worker: capacity.WorkerCapacity) -> int:
     """Returns the class of a worker's speed; a higher one is faster."""
-    return round(math.log(worker.speed) / _LOG_CLASS_WIDTH)
+    return _speed_class(worker.speed)
+
+
+@functools.lru_cache(maxsize=8192)
+def _speed_class(speed: float) -> int:
+    return round(math.log(speed) / _LOG_CLASS_WIDTH)
 
 
 def required_speed(
--- a/banyantrack/workload/speeds.py
+++ b/banyantrack/workload/speeds.py
@@ -52,8 +52,12 @@
 MIN_SPAN_S = 0.3
 # Largest factor between an observation and the estimate that is learned from.
 MAX_STEP = 3.0
-# Time in which the weight of earlier observations halves.
-HALF_LIFE_S = 60.0
+# Time in which the weight of earlier observations halves. Hosts that are idle
+# for a minute keep their class.
+HALF_LIFE_S = 300.0
+# Largest weight of a host's observations, about ten of them, so that later
+# ones still count.
+MAX_WEIGHT = 250.0
 # Most half-lives that one decay counts; keeps its factor above 0.
 MAX_HALF_LIVES = 50
 # An observation this many standard deviations from the estimate contradicts
@@ -272,6 +276,8 @@
         self._hosts: dict[str, _Host] = {}
         self._groups: dict[layout.GroupKey, _Group] = {}
         self._tracks: dict[str, dict[tuple, _Track]] = {}
+        # Results of `bounds` that are still valid, by host.
+        self._bounds: dict[str, tuple[float, float]] = {}
         self._mean_error = 0.0
         self._middle = 0.0
         self._spread = 1.0
@@ -340,12 +346,15 @@
 
     def bounds(self, worker: str) -> tuple[float, float]:
         """Returns a speed, and the one that is reached almost certainly."""
-        host = self._hosts.get(worker)
-        if host is None or not host.observed:
-            return 1.0, _UNKNOWN_SURE_SPEED
-        mean = host.mean - self._middle
-        sure = mean - SURE_DEVIATIONS * math.sqrt(host.variance)
-        return math.exp(mean), math.exp(sure)
+        found = self._bounds.get(worker)
+        if found is None:
+            host = self._hosts.get(worker)
+            if host is None or not host.observed:
+                return 1.0, _UNKNOWN_SURE_SPEED
+            mean = host.mean - self._middle
+            sure = mean - SURE_DEVIATIONS * math.sqrt(host.variance)
+            found = self._bounds[worker] = (math.exp(mean), math.exp(sure))
+        return found
 
     def observe(
         self,
@@ -369,6 +378,7 @@
         if host.incarnation != incarnation:
             host.incarnation = incarnation
             host.scale(RESTART_RETAINED_SHARE)
+            self._bounds.pop(worker, None)
         self._decay(host, now_s)
         previous = self._tracks.get(worker, {})
         current: dict[tuple, _Track] = {}
@@ -406,6 +416,7 @@
         if now_s - self._summary_at_s < SUMMARY_INTERVAL_S:
             return False
         self._summary_at_s = now_s
+        self._bounds.clear()
         for key, group in list(self._groups.items()):
             if now_s - group.seen_s > GROUP_RETENTION_S:
                 self._settle(key)
@@ -522,6 +533,9 @@
         observation.log_scale = host.log_scale
         host.weight += 1 / told_variance
         host.weighted += told / told_variance
+        if host.weight > MAX_WEIGHT:
+            host.scale(MAX_WEIGHT / host.weight)
+        self._bounds.pop(worker, None)
 
     def _shared_error(self, group: _Group) -> tuple[float, float]:
         """Returns mean and variance of the error that a group shares."""
