Do not count finished members of a gang as slow

Cause: a member of a gang shows 100 percent until the slowest one is through.

Change: a run at 100 percent is not slow.

Measured: the new test fails on the code before and passes now.

--- a/banyantrack/tests/test_work_progress.py
+++ b/banyantrack/tests/test_work_progress.py
@@ -35,6 +35,14 @@
             watch.observe('w1', percents, float(second))
         self.assertFalse(watch.is_slow('w1', 3.0))
 
+    def test_run_that_waits_for_its_gang_is_not_slow(self) -> None:
+        # Guards against a penalty for fast workers: a member of a gang shows
+        # 100 percent until the slowest one is through.
+        watch = progress.ProgressWatch()
+        for second, percent in enumerate((0, 45, 90, 100, 100)):
+            watch.observe('w1', {run_id(0): percent}, float(second))
+        self.assertFalse(watch.is_slow('w1', 4.0))
+
     def test_constant_rate_is_not_slow(self) -> None:
         watch = progress.ProgressWatch()
         for second in range(8):
--- a/banyantrack/workload/progress.py
+++ b/banyantrack/workload/progress.py
@@ -67,8 +67,10 @@
             if span_s < MIN_SAMPLE_INTERVAL_S:
                 continue
             rate = (percents[run] - progress.percent) / span_s
+            # A member of a gang shows 100 until the slowest one is through.
             progress.slow = (
                 progress.best_rate > 0
+                and percents[run] < 100
                 and rate < SLOW_RATE_SHARE * progress.best_rate
             )
             progress.best_rate = max(progress.best_rate, rate)
