Learn speeds in the session, with tests

Cause: the estimate follows a worker that becomes slow only after two contradicting samples, and the remaining time of a gang was taken from its fast members while that of the slow ones was unknown.

Change: a worker whose runs are slow now counts as slow at once; the remaining time of a gang is unknown as long as that of any member is. Tests feed answers of workers to a session.

--- a/banyantrack/daemons/work_session.py
+++ b/banyantrack/daemons/work_session.py
@@ -511,6 +511,16 @@
                 deviation=round(deviation, 2),
             )
 
+    def _speed_bounds(
+        self, worker: ttypes.WorkerRecord
+    ) -> tuple[float, float]:
+        speed, sure_speed = self._speeds.bounds(_machine_id(worker))
+        if self._progress.is_slow(worker.worker_id, clock.steady_s()):
+            # It has become slow lately, which the estimate does not show yet.
+            speed *= progress.SLOW_RATE_SHARE
+            sure_speed *= progress.SLOW_RATE_SHARE
+        return speed, sure_speed
+
     def _speed_factor(self, end: ttypes.RunEnd, step: ttypes.Step) -> float:
         """Returns the factor from a run time to that at speed 1.0."""
         worker = self._state.workers.get(end.worker_id)
@@ -898,9 +908,7 @@
             penalty=self._penalty,
             answered_recently=self._answered_recently,
             remaining_ms=self._remaining_ms,
-            speed=(lambda worker: self._speeds.bounds(_machine_id(worker)))
-            if self._speeds.in_use
-            else None,
+            speed=self._speed_bounds if self._speeds.in_use else None,
         )
         await self._evacuate(fleet)
         for run in await self._upkeep.round(fleet, self._unready_members):
--- a/banyantrack/tests/test_work_session.py
+++ b/banyantrack/tests/test_work_session.py
@@ -170,3 +170,115 @@
             builders.submit(self.state, builders.job('c'))
             planned = builders.plan(self.state)
             self.assertEqual(starts, len(planned.starts))
+
+
+class _ConfirmedLink:
+    """Link to a worker that has confirmed its starts at a given time."""
+
+    def __init__(self, started_s: float | None) -> None:
+        self.started_s = started_s
+
+    def started_at_s(self, *_: object) -> float | None:
+        return self.started_s
+
+
+class TestSpeeds(testtools.TestCase):
+    """Speeds are learned from the progress in answers of workers."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.speeds = {f'w{n}': (0.625, 1.0, 1.667)[n % 3] for n in range(9)}
+        self.state = builders.state(*map(builders.worker, self.speeds))
+        self.session = self.make_session()
+
+    def make_session(self, spread_min: float = 1.5):
+        options = settings.ControlPlatformSettings(
+            remote_factor=3.0,
+            stop_ms=200,
+            upkeep_s=2.0,
+            speed_spread_min=spread_min,
+        )
+        return work_session.WorkSession(
+            _FakeReplica(),
+            self.state,
+            None,
+            options,
+            None,
+            metrics.Metrics(),
+        )
+
+    def run_gangs(self, **steps: object) -> None:
+        """Places a member on each worker; each reports after a second."""
+        now_s = clock.steady_s()
+        step = builders.step(
+            count=len(self.speeds),
+            accelerators=2,
+            gang=True,
+            max_per_worker=1,
+            **steps,
+        )
+        for number in range(3):
+            job = builders.job(f'{number:016x}', step)
+            builders.submit(self.state, job)
+            for start in builders.start(self.state, builders.plan(self.state)):
+                self.session._links[start.worker_id] = _ConfirmedLink(
+                    now_s - 1
+                )
+        self.report(50)
+
+    def report(self, percent: float) -> None:
+        for worker_id, speed in self.speeds.items():
+            running = tuple(
+                worker_client.RunningTask(
+                    key, task.run, '', int(percent * speed), None
+                )
+                for key, task in self.state.live_runs(worker_id, 1)
+            )
+            reply = worker_client.LeaseReply(
+                worker_client.OrderOutcome.DONE, 0, running
+            )
+            self.session.on_progress(worker_id, reply)
+
+    def update(self) -> None:
+        self.session._update_speeds()
+
+    def test_one_report_of_three_gangs(self) -> None:
+        self.run_gangs()
+        self.update()
+        worker = self.state.workers
+        slow, _ = self.session._speed_bounds(worker['w0'])
+        middle, _ = self.session._speed_bounds(worker['w1'])
+        fast, _ = self.session._speed_bounds(worker['w2'])
+        self.assertLess(slow, 0.75)
+        self.assertAlmostEqual(1.0, middle, 1)
+        self.assertGreater(fast, 1.4)
+        self.assertTrue(self.session._speeds.in_use)
+
+    def test_disabled_by_default(self) -> None:
+        self.session = self.make_session(0.0)
+        self.run_gangs()
+        self.update()
+        self.assertFalse(self.session._speeds.in_use)
+        self.assertEqual(0, self.session._speeds.known)
+
+    def test_start_that_is_not_confirmed(self) -> None:
+        # Guards against a rate from the start of a gang that has waited for
+        # its last member: the first report is the baseline then.
+        self.run_gangs()
+        self.session = self.make_session()
+        self.session._links['w0'] = _ConfirmedLink(None)
+        self.report(50)
+        self.update()
+        self.assertEqual(0, self.session._speeds.known)
+
+    def test_readiness_of_long_running_tasks_tells_no_speed(self) -> None:
+        self.run_gangs(long_running=True)
+        self.update()
+        self.assertEqual(0, self.session._speeds.known)
+
+    def test_worker_that_becomes_slow_is_not_fast_meanwhile(self) -> None:
+        self.run_gangs()
+        self.update()
+        self.session._progress._slow_until_s['w2'] = clock.steady_s() + 3
+        speed, _ = self.session._speed_bounds(self.state.workers['w2'])
+        self.assertLess(speed, 0.72)
--- a/banyantrack/workload/capacity.py
+++ b/banyantrack/workload/capacity.py
@@ -257,7 +257,8 @@
         """Gives all runs of a gang the remaining time of the slowest.
 
         A member on a fast worker shows 100 percent until the others are
-        through, and keeps its capacity for as long.
+        through, and keeps its capacity for as long. The time is unknown as
+        long as that of any member is.
         """
         gangs: dict[layout.GroupKey, list[RunAllocation]] = {}
         for capacity in self._workers.values():
@@ -266,14 +267,15 @@
                     gangs.setdefault(run.key.group, []).append(run)
         for runs in gangs.values():
             slowest = min(run.speed for run in runs)
-            known = [
+            times_ms = [
                 run.remaining_ms
                 for run in runs
                 if run.remaining_ms is not None
             ]
+            whole = len(times_ms) == len(runs)
             for run in runs:
                 run.speed = slowest
-                run.remaining_ms = max(known) if known else None
+                run.remaining_ms = max(times_ms) if whole else None
 
 
 def rack_of(worker: ttypes.WorkerRecord) -> str:
