--- a/banyantrack/tests/test_evacuations.py
+++ b/banyantrack/tests/test_evacuations.py
@@ -348,6 +348,31 @@
         order(self.state, 'hall 4', end=True)
         self.assertFalse(self.begin('hall 4', zones=zones))
 
+    def test_answer_that_is_lost_with_the_leader(self) -> None:
+        # Guards against a retry that counts as a second order: the leader
+        # was lost after it had recorded the first one.
+        class Lost(_FakeLeadership):
+            async def propose(self, command: ttypes.WorkCommand) -> object:
+                await super().propose(command)
+                raise replication_errors.UnknownOutcomeError('lost')
+
+        lost = work_api.WorkApi(
+            self.replica, self.state, Lost(self.state), None
+        )
+        found = findings.Findings()
+        self.assertRaises(
+            replication_errors.UnknownOutcomeError,
+            curio.run,
+            lost.evacuations.begin,
+            'z1',
+            'operator',
+            found,
+        )
+        before = self.state.snapshot()
+        self.state = restored(state_module.WorkState(), before)
+        self.assertTrue(self.begin('z1'))
+        self.assertEqual(before.evacuations, self.state.snapshot().evacuations)
+
     def test_member_that_cannot_commit(self) -> None:
         # Guards against a call that waits at a deposed leader for as long as
         # the operator tries at all.
