Forecasts of run times as a distribution

Cause: work is ordered by one expected run time for each queue, which says nothing about its range, about customers or about what a job's own ended tasks show.

--- a/banyantrack/testing/job_model.py
+++ b/banyantrack/testing/job_model.py
@@ -22,6 +22,7 @@
 from banyantrack.workload import durations as durations_module
 from banyantrack.workload import layout
 from banyantrack.workload import planner as planner_module
+from banyantrack.workload import run_times
 from banyantrack.workload import state as state_module
 from banyantrack.workload import values
 
@@ -54,6 +55,8 @@
 # Accelerators of a task are drawn from these.
 ACCELERATOR_CHOICES = (1, 2, 4, 8, 8)
 MAX_GANG_ACCELERATORS = 32
+# Run time of a straggler over that of the other tasks of its job.
+STRAGGLER_FACTOR = 7
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -78,6 +81,10 @@
         failure_share: Share of runs that fail.
         always_failing_share: Share of jobs of which each run fails.
         accelerator_choices: The accelerators of a task are drawn from these.
+        task_sigma: Standard deviation of the logarithm of the run time
+            between the tasks of a job.
+        straggler_share: Share of tasks that take `STRAGGLER_FACTOR` times as
+            long as the others of their job.
     """
 
     queue: str
@@ -95,6 +102,8 @@
     failure_share: float = 0.02
     always_failing_share: float = 0.0
     accelerator_choices: tuple[int, ...] = ACCELERATOR_CHOICES
+    task_sigma: float = 0.15
+    straggler_share: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -224,6 +233,8 @@
         duration_ms: Run time unless it is stopped before.
         saved_ms: Work that its checkpoint holds.
         fails: Whether it fails at its end.
+        speed: Run time on usual workers over that on its workers.
+        remote_factor: Factor on the run time of a gang that spans racks.
     """
 
     start: ttypes.RunStart
@@ -231,6 +242,8 @@
     duration_ms: float
     saved_ms: float
     fails: bool
+    speed: float = 1.0
+    remote_factor: float = 1.0
 
 
 @dataclasses.dataclass(slots=True)
@@ -257,6 +270,37 @@
     stops: int
 
 
+class Observer(typing.Protocol):
+    """Observes the runs of a simulation."""
+
+    def submitted(self, record: ttypes.JobRecord) -> None:
+        """Notes that a job was accepted."""
+
+    def started(
+        self,
+        record: ttypes.JobRecord,
+        start: ttypes.RunStart,
+        usual_ms: float,
+    ) -> None:
+        """Notes a start.
+
+        Args:
+            record: The record of the job.
+            start: The start.
+            usual_ms: Time from start to end of the whole work on usual
+                workers, in milliseconds.
+        """
+
+    def ended(
+        self,
+        record: ttypes.JobRecord,
+        run: _SimulatedRun,
+        kind: int,
+        now_ms: float,
+    ) -> None:
+        """Notes the end of a run, a value of `EndKind`."""
+
+
 class Simulation:
     """One simulation of a site.
 
@@ -265,16 +309,26 @@
         seed: Seed of arrivals, sizes, run times and failures.
         load: Factor on the usual rate of arrivals.
         length_s: Simulated seconds with arrivals.
+        forecasts: Value of the setting `run_time_forecasts`.
+        observer: Is told of all runs.
     """
 
     def __init__(
-        self, site: Site, seed: int, *, load: float, length_s: float
+        self,
+        site: Site,
+        seed: int,
+        *,
+        load: float,
+        length_s: float,
+        forecasts: str = 'off',
+        observer: Observer | None = None,
     ) -> None:
+        self._observer = observer
         self._rng = random.Random(seed)
         self._site = site
         self._last_arrival_ms = START_MS + length_s * 1000
         self._state = state_module.WorkState()
-        self._durations = durations_module.LearnedDurations()
+        self._durations = durations_module.MODELS.get(forecasts)()
         self._planner = planner_module.Planner(
             self._state,
             self._durations,
@@ -380,7 +434,7 @@
             job=job,
             submitted_ms=now_ms,
             work_ms=[
-                usual_ms * rng.lognormvariate(0, 0.15) for _ in range(count)
+                usual_ms * self._draw_task_factor(kind) for _ in range(count)
             ],
             always_fails=rng.random() < kind.always_failing_share,
             cancelled=rng.random() < kind.cancelled_share,
@@ -395,8 +449,16 @@
         )
         if simulated.cancelled:
             self._schedule(now_ms + rng.uniform(0, 500), self._cancel, job_id)
+        if self._observer is not None:
+            self._observer.submitted(self._state.jobs[job_id])
         self._schedule_round(now_ms)
 
+    def _draw_task_factor(self, kind: JobKind) -> float:
+        factor = self._rng.lognormvariate(0, kind.task_sigma)
+        if kind.straggler_share and self._rng.random() < kind.straggler_share:
+            factor *= STRAGGLER_FACTOR
+        return factor
+
     def _cancel(self, now_ms: float, job_id: str) -> None:
         queue = self._jobs[job_id].kind.queue
         customer = self._state.jobs[job_id].customer
@@ -456,9 +518,23 @@
             return None
         reports = (now_ms - run.started_ms) // PROGRESS_INTERVAL_MS
         if reports < 1:
-            return None
+            return self._forecast_remaining_ms(live, run, now_ms)
         return max(run.started_ms + run.duration_ms - now_ms, 0.0)
 
+    def _forecast_remaining_ms(
+        self,
+        live: capacity.RunAllocation,
+        run: _SimulatedRun,
+        now_ms: float,
+    ) -> float | None:
+        if not isinstance(self._durations, run_times.RunTimes):
+            return None
+        forecast = self._durations.forecast(live.record, live.step)
+        ran_ms = max(now_ms - run.started_ms, 0.0) / run.remote_factor
+        return run.remote_factor * self._durations.remaining_ms(
+            forecast, ran_ms
+        )
+
     def _start_runs(self, at_ms: float, starts: list[ttypes.RunStart]) -> None:
         groups = collections.defaultdict(list)
         for start in starts:
@@ -472,6 +548,9 @@
                 for start in members
             }
             longest_ms = max(task_durations_ms.values())
+            longest_work_ms = max(
+                job.work_ms[start.task.index] for start in members
+            )
             gang_fails = self._draw_failure(job)
             for start in members:
                 run_id = layout.RunId(layout.task_id(start.task), start.run)
@@ -481,6 +560,12 @@
                     else task_durations_ms[start.task.index]
                 )
                 fails = gang_fails if step.gang else self._draw_failure(job)
+                usual_ms = (
+                    longest_work_ms
+                    if step.gang
+                    else job.work_ms[start.task.index]
+                )
+                speed = usual_ms / duration_ms
                 duration_ms *= 0.5 if fails else 1.0
                 self._runs[run_id] = _SimulatedRun(
                     start,
@@ -488,7 +573,12 @@
                     duration_ms,
                     float(start.checkpoint or 0),
                     fails,
+                    speed,
+                    factor,
                 )
+                if self._observer is not None:
+                    record = self._state.jobs[group.job_id]
+                    self._observer.started(record, start, usual_ms)
                 self._schedule(at_ms + duration_ms, self._finish, run_id)
 
     def _remaining_work_ms(
@@ -548,6 +638,14 @@
             processors * (run_time_ms - saved_run_time_ms) / 1000
         )
         checkpoint = f'{run.saved_ms:.0f}' if step.checkpointable else ''
+        if isinstance(self._durations, run_times.RunTimes):
+            self._learn(
+                run,
+                step,
+                run_time_ms - self._site.stop_ms,
+                now_ms,
+                stopped=True,
+            )
         self._end(now_ms, run, ttypes.EndKind.STOPPED, checkpoint)
 
     def _finish(self, now_ms: float, run_id: layout.RunId) -> None:
@@ -560,16 +658,39 @@
         processors = 8 * step.accelerators + step.cpu_milli / 1000
         self._finished_processor_s += processors * run.duration_ms / 1000
         kind = ttypes.EndKind.FAILED if run.fails else ttypes.EndKind.DONE
-        if not run.fails and not run.start.checkpoint:
+        if isinstance(self._durations, run_times.RunTimes):
+            if not run.fails:
+                self._learn(run, step, run.duration_ms, now_ms)
+        elif not run.fails and not run.start.checkpoint:
             record = self._state.jobs[job.job.job_id]
             self._durations.observe(record, step, run.duration_ms)
         self._end(now_ms, run, kind, '')
 
+    def _learn(
+        self,
+        run: _SimulatedRun,
+        step: ttypes.Step,
+        ran_ms: float,
+        now_ms: float,
+        *,
+        stopped: bool = False,
+    ) -> None:
+        self._durations.observe(
+            self._state.jobs[run.start.task.job_id],
+            step,
+            ran_ms,
+            speed=1 / run.remote_factor,
+            censored=stopped or bool(run.start.checkpoint),
+            now_ms=now_ms,
+        )
+
     def _end(
         self, now_ms: float, run: _SimulatedRun, kind: int, checkpoint: str
     ) -> None:
         builders.end(self._state, run.start, kind, checkpoint=checkpoint)
         record = self._state.jobs[run.start.task.job_id]
+        if self._observer is not None:
+            self._observer.ended(record, run, kind, now_ms)
         if record.state in state_module.FINISHED:
             job = self._jobs[record.job.job_id]
             job.finished_ms = min(job.finished_ms, now_ms)
--- a/banyantrack/workload/durations.py
+++ b/banyantrack/workload/durations.py
@@ -11,6 +11,8 @@
 import math
 import typing
 
+from banyantrack.core import registry
+
 if typing.TYPE_CHECKING:
     from banyantrack.generated.workload import ttypes
 
@@ -24,6 +26,8 @@
 INITIAL_TYPICAL_ERROR = 1.0
 # Run time of a step without an estimate.
 DEFAULT_RUN_TIME_MS = 1000.0
+# Models of run times, by value of the setting `run_time_forecasts`.
+MODELS: registry.Registry[type] = registry.Registry('run time model')
 
 
 @dataclasses.dataclass(slots=True)
@@ -44,6 +48,7 @@
     typical_error: float = INITIAL_TYPICAL_ERROR
 
 
+@MODELS.register('off')
 class LearnedDurations:
     """Expected run times, learned by queue."""
 
--- a/benchmarks/jobs.py
+++ b/benchmarks/jobs.py
@@ -13,6 +13,7 @@
 import statistics
 
 from banyantrack.testing import job_model
+from banyantrack.workload import durations
 
 # Multiples of the usual load of a site.
 LOAD_FACTORS = (1.0, 2.0, 3.0)
@@ -20,10 +21,14 @@
 ARRIVALS_S = 40.0
 
 
-def _simulate(case: tuple[str, float, int]) -> job_model.Verdict:
-    site, load_factor, seed = case
+def _simulate(case: tuple[str, float, int, str]) -> job_model.Verdict:
+    site, load_factor, seed, forecasts = case
     simulation = job_model.Simulation(
-        job_model.SITES[site], seed, load=load_factor, length_s=ARRIVALS_S
+        job_model.SITES[site],
+        seed,
+        load=load_factor,
+        length_s=ARRIVALS_S,
+        forecasts=forecasts,
     )
     return simulation.run()
 
@@ -57,10 +62,13 @@
     )
     parser.add_argument('--seeds', type=int, default=12)
     parser.add_argument('--jobs', type=int, default=3)
+    parser.add_argument(
+        '--forecasts', choices=list(durations.MODELS), default='off'
+    )
     options = parser.parse_args(arguments)
     seeds = 4 if options.quick else options.seeds
     cases = [
-        (site, load_factor, seed)
+        (site, load_factor, seed, options.forecasts)
         for site in options.sites
         for load_factor in LOAD_FACTORS
         for seed in range(seeds)
