Use of run time forecasts by the leader, setting run_time_forecasts

Cause: queue order, waits, preemption and drain use one expected time, and runs without progress reports count as unknown. The setting off is as before. The variance of forecasts is calibrated, and the pool of a queue counts less the more its customers differ.

--- a/banyantrack/daemons/work_session.py
+++ b/banyantrack/daemons/work_session.py
@@ -26,6 +26,7 @@
 from banyantrack.core import signals
 from banyantrack.daemons import advisor
 from banyantrack.daemons import departures
+from banyantrack.daemons import run_forecasts
 from banyantrack.daemons import upkeep
 from banyantrack.daemons import worker_link
 from banyantrack.generated.workload import ttypes
@@ -40,6 +41,7 @@
 from banyantrack.workload import planner as planner_module
 from banyantrack.workload import preemption
 from banyantrack.workload import progress
+from banyantrack.workload import run_times
 from banyantrack.workload import state as state_module
 from banyantrack.workload import worker_client
 
@@ -153,7 +155,19 @@
         self._metrics = metrics
         self._term = replica.term
         self._links: dict[str, worker_link.WorkerLink] = {}
-        self._durations = durations_module.LearnedDurations()
+        self._durations = durations_module.MODELS.get(
+            options.run_time_forecasts or 'off'
+        )()
+        self._forecasts: run_forecasts.RunForecasts | None = None
+        if isinstance(self._durations, run_times.RunTimes):
+            self._forecasts = run_forecasts.RunForecasts(
+                state,
+                self._durations,
+                metrics,
+                remote_factor=options.remote_factor,
+                lease_ms=options.lease_ms or 0,
+                stop_ms=options.stop_ms,
+            )
         self._planner = planner_module.Planner(
             state,
             self._durations,
@@ -763,11 +777,14 @@
         return penalty
 
     def _remaining_ms(self, run: capacity.RunAllocation) -> float | None:
-        return self._progress.remaining_ms(
+        remaining_ms = self._progress.remaining_ms(
             run.task.worker_id,
             layout.RunId(run.key, run.task.run),
             clock.steady_s(),
         )
+        if remaining_ms is None and self._forecasts is not None:
+            return self._forecasts.remaining_ms(run, clock.now_ms())
+        return remaining_ms
 
     def _stopping(self) -> set[layout.RunId]:
         found: set[layout.RunId] = set()
@@ -871,12 +888,16 @@
             record = self._state.jobs.get(key.job_id)
             if record is not None and record.job.steps[key.step].gang:
                 self._gang_starts[key.group] = _GangStart(start.run, now_s)
+            forecast = {}
+            if record is not None and self._forecasts is not None:
+                forecast = self._forecasts.placed(record, key)
             logs.event(
                 _LOG,
                 'run_placed',
                 task='.'.join(map(str, key)),
                 run=start.run,
                 worker=start.worker_id,
+                **forecast,
             )
             link = self._links.get(start.worker_id)
             if link is not None:
@@ -1003,6 +1024,16 @@
         ran_ms: float,
     ) -> None:
         kind = ttypes.EndKind._VALUES_TO_NAMES[end.kind].lower()
+        record = self._state.jobs.get(key.job_id)
+        forecast = {}
+        if (
+            self._forecasts is not None
+            and record is not None
+            and run == end.run
+        ):
+            forecast = self._forecasts.ended(
+                record, key, end, ran_ms, clock.now_ms()
+            )
         logs.event(
             _LOG,
             'run_ended',
@@ -1011,11 +1042,11 @@
             worker=end.worker_id,
             kind=kind,
             ran_ms=ran_ms if run == end.run else None,
+            **forecast,
         )
         self._metrics.counter('banyan_runs_ended', kind=kind).add()
         self._progress_percent.pop(key, None)
         self._checkpoints.pop(key, None)
-        record = self._state.jobs.get(key.job_id)
         if record is None or run != end.run:
             return
         step = record.job.steps[key.step]
@@ -1023,7 +1054,7 @@
             self._forget_failures(
                 end.worker_id, clock.steady_s() - ran_ms / 1000
             )
-            if not end.checkpoint:
+            if not end.checkpoint and self._forecasts is None:
                 self._durations.observe(record, step, ran_ms)
         elif end.kind == ttypes.EndKind.FAILED:
             self._failure_times_s.setdefault(end.worker_id, []).append(
--- a/banyantrack/workload/run_times.py
+++ b/banyantrack/workload/run_times.py
@@ -27,8 +27,6 @@
 from banyantrack.workload import layout
 
 if typing.TYPE_CHECKING:
-    import collections.abc
-
     from banyantrack.generated.workload import ttypes
 
 # Number of jobs after which an observation has lost most of its weight.
@@ -73,9 +71,15 @@
 # what one customer's runs change for the others of its queue.
 MAX_SHAPE_LOG = math.log(2.0)
 SHAPE_PRIOR_RUNS = 10.0
+# Limits of the correction of the variance of forecasts. The typical run time
+# and the estimate err in common by what the tasks of a job differ.
+CALIBRATION_LIMITS = (0.7, 2.0)
+MAX_CALIBRATION_SAMPLE = 12.0
+# Limit of the excess of the tail, as a natural logarithm.
+MAX_TAIL_LOG = math.log(30.0)
 # Changes of the statistics below these leave forecasts as they are.
-MEAN_TOLERANCE = 0.02
-VARIANCE_TOLERANCE = 0.1
+MEAN_TOLERANCE = 0.04
+VARIANCE_TOLERANCE = 0.2
 # Ends of one job that are kept; the others add nothing to its forecast.
 JOB_RUNS_LIMIT = 64
 # Jobs whose ends are kept, the latest ones.
@@ -90,6 +94,8 @@
 # Remaining times are computed at this many steps up to the median, and as
 # many for each doubling above it.
 REMAINING_RESOLUTION = 32
+# Tolerance of the logarithm of a quantile.
+QUANTILE_TOLERANCE = 2e-3
 _NORMAL = statistics.NormalDist()
 _SQRT2 = math.sqrt(2.0)
 
@@ -121,7 +127,7 @@
     def __init__(self, parts: tuple[Part, ...], runs: float) -> None:
         self._parts = parts
         self._quantiles: dict[float, float] = {}
-        self._remaining: dict[int, tuple[float, float]] = {}
+        self._remaining: dict[int, float] = {}
         self.runs = runs
         self._median_ms = self.quantile_ms(0.5)
 
@@ -159,28 +165,32 @@
         """
         share = max(ran_ms, 0.0) / self._median_ms
         # Steps of equal length up to the median, and of equal ratio above.
-        bucket = int(
-            REMAINING_RESOLUTION
-            * (share if share < 1 else 1 + math.log2(share))
+        position = REMAINING_RESOLUTION * (
+            share if share < 1 else 1 + math.log2(share)
         )
+        bucket = int(position)
+        low_ms = self._remaining_at(bucket)
+        high_ms = self._remaining_at(bucket + 1)
+        return low_ms + (position - bucket) * (high_ms - low_ms)
+
+    def _remaining_at(self, bucket: int) -> float:
+        """Returns the remaining time at the start of a step."""
         found = self._remaining.get(bucket)
         if found is None:
             edge = bucket / REMAINING_RESOLUTION
-            edge_ms = self._median_ms * (
-                edge if edge < 1 else 2.0 ** (edge - 1)
+            found = self._remaining[bucket] = _mean_excess(
+                self._parts,
+                self._median_ms * (edge if edge < 1 else 2.0 ** (edge - 1)),
             )
-            found = edge_ms, _mean_excess(self._parts, edge_ms)
-            self._remaining[bucket] = found
-        edge_ms, remaining_ms = found
-        return max(edge_ms + remaining_ms - ran_ms, 0.0)
+        return found
 
     def _quantile_log(self, q: float) -> float:
         z = _NORMAL.inv_cdf(q)
         bounds = [
-            part.mean + z * math.sqrt(part.variance) for part in self._parts
+            mean + z * math.sqrt(variance) for _, mean, variance in self._parts
         ]
         low, high = min(bounds), max(bounds)
-        while high - low > 1e-3:
+        while high - low > QUANTILE_TOLERANCE:
             middle = (low + high) / 2
             if 1.0 - _survival(self._parts, middle) < q:
                 low = middle
@@ -191,12 +201,10 @@
 
 def _survival(parts: tuple[Part, ...], at: float) -> float:
     """Returns the probability of a logarithm of the run time above `at`."""
-    return sum(
-        part.weight
-        * 0.5
-        * math.erfc((at - part.mean) / math.sqrt(2 * part.variance))
-        for part in parts
-    )
+    alive = 0.0
+    for weight, mean, variance in parts:
+        alive += weight * math.erfc((at - mean) / math.sqrt(2 * variance))
+    return alive / 2
 
 
 def _mean_excess(parts: tuple[Part, ...], ran_ms: float) -> float:
@@ -261,7 +269,14 @@
         self.squares += factor * other.squares
 
     def pooled(self, runs: float, mean: float, variance: float) -> Moments:
-        """Returns these sums with those of further runs."""
+        """Returns these sums with those of further runs.
+
+        The further runs count less if they vary more than these.
+        """
+        own = (self.runs * self.variance + PRIOR_RUNS * variance) / (
+            self.runs + PRIOR_RUNS
+        )
+        runs *= min(1.0, own / variance)
         return Moments(
             self.runs + runs,
             self.total + runs * mean,
@@ -333,6 +348,7 @@
         shares: Decayed number of jobs by (long for the queue, long for the
             estimate).
         tail: Excess of jobs in the tail, as a logarithm.
+        calibration: Square of the error of forecasts over their variance.
         task_variance: Variance of the run times within a job.
         task_tail: Share of tasks in the tail of their job.
         task_tail_log: Excess of these tasks, as a logarithm.
@@ -348,6 +364,7 @@
             key: SHARES_WEIGHT * share for key, share in INITIAL_SHARES.items()
         }
         self.tail = Moments(2.0, 2 * INITIAL_TAIL_LOG)
+        self.calibration = Moments(10.0, 10.0)
         self.task_variance = Moments(4.0, 4 * INITIAL_TASK_VARIANCE)
         self.task_tail = Moments(
             TASK_TAIL_WEIGHT, TASK_TAIL_WEIGHT * INITIAL_TASK_TAIL
@@ -636,16 +653,30 @@
             deviation = math.sqrt(parameters.bias_variance)
             long_for_estimate = _is_tail(error, deviation)
             bias = parameters.bias + _clamp(error, CLIP_DEVIATIONS * deviation)
+        shared = weight * min(
+            1.0, CUSTOMER_POOL_LIMIT / max(customer.typical.runs, 1.0)
+        )
         for key in queue.shares:
-            queue.shares[key] *= 1 - weight / MEMORY_JOBS
-        queue.shares[long_for_queue, long_for_estimate] += weight
+            queue.shares[key] *= 1 - shared / MEMORY_JOBS
+        queue.shares[long_for_queue, long_for_estimate] += shared
         if long_for_queue or long_for_estimate:
             queue.tail.observe(
-                excess if long_for_queue else error, weight, MEMORY_JOBS
+                min(excess if long_for_queue else error, MAX_TAIL_LOG),
+                shared,
+                MEMORY_JOBS,
             )
         else:
             queue.shapes.setdefault(shape, Moments()).observe(
-                _clamp(level - expected, TAIL_LOG), weight, MEMORY_JOBS
+                _clamp(level - expected, TAIL_LOG), shared, MEMORY_JOBS
+            )
+            queue.calibration.observe(
+                min(
+                    (typical - expected) ** 2
+                    / _combined_variance(parameters, declared),
+                    MAX_CALIBRATION_SAMPLE,
+                ),
+                shared,
+                MEMORY_JOBS,
             )
         queue.learn(
             customer,
@@ -708,7 +739,7 @@
             + INITIAL_TASK_VARIANCE / 2,
         )
     parts = [
-        part._replace(mean=part.mean + effect)
+        Part(part.weight, part.mean + effect, part.variance)
         for part in _prior_parts(queue, parameters, declared)
     ]
     based_on = parameters.runs
@@ -727,6 +758,8 @@
 
     The errors of the estimates of one job have a common part.
     """
+    if len(job.steps) < 2:
+        return None
     errors = []
     for other in job.steps.values():
         declared = _declared_log(other.step)
@@ -765,7 +798,11 @@
     error = parameters.bias_variance
     if typical is None:
         return [Part(1.0, corrected, error)]
-    variance = 1 / (1 / spread + 1 / error)
+    calibration = min(
+        max(queue.calibration.mean, CALIBRATION_LIMITS[0]),
+        CALIBRATION_LIMITS[1],
+    )
+    variance = _combined_variance(parameters, declared)
     weights = []
     means = []
     for (long_for_queue, long_for_estimate), share in queue.shares.items():
@@ -776,7 +813,16 @@
             - (by_queue - by_estimate) ** 2 / (2 * (spread + error))
         )
         means.append(variance * (by_queue / spread + by_estimate / error))
-    return _normalized(weights, means, [variance] * len(means))
+    return _normalized(weights, means, [variance * calibration] * len(means))
+
+
+def _combined_variance(
+    parameters: Parameters, declared: float | None
+) -> float:
+    """Returns the variance of a job's run time if both sources agree."""
+    if declared is None:
+        return parameters.typical_variance
+    return 1 / (1 / parameters.typical_variance + 1 / parameters.bias_variance)
 
 
 def _updated(parts: list[Part], runs: _StepRuns) -> list[Part]:
@@ -830,7 +876,9 @@
 def _pruned(parts: list[Part]) -> tuple[Part, ...]:
     kept = [part for part in parts if part.weight >= MIN_PART_WEIGHT]
     total = sum(part.weight for part in kept)
-    return tuple(part._replace(weight=part.weight / total) for part in kept)
+    return tuple(
+        Part(part.weight / total, part.mean, part.variance) for part in kept
+    )
 
 
 def _learn_tasks(
--- a/schema/settings.thrift
+++ b/schema/settings.thrift
@@ -92,6 +92,9 @@
   12: optional double upkeep_s (default = "2", min = "0", max = "86400")
   // Longest time that a serving task may be over its target.
   13: optional i32 interference_ms (default = "4000", min = "100", max = "600000")
+  // Forecasts of run times: a single expected time for each queue, or a
+  // distribution that is learned from ended runs.
+  19: optional string run_time_forecasts (default = "off", choices = "off,learned")
 }
 
 // The platform's interface of an entry.
