Replicated summary of run times

Cause: a new leader forecasts from declared estimates until it has learned for some minutes. Run time forecasts are split into distribution, statistics and model.

--- a/banyantrack/daemons/run_forecasts.py
+++ b/banyantrack/daemons/run_forecasts.py
@@ -25,6 +25,8 @@
 # Ends that are recorded only once the lease of the worker has run out.
 _LAPSED = frozenset((ttypes.EndKind.LAPSED, ttypes.EndKind.LOST))
 P90 = 0.9
+# Shortest time between two replicated summaries.
+SUMMARY_INTERVAL_S = 10.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -82,6 +84,33 @@
         self._stop_ms = stop_ms
         self._speed = speed
         self._placed: dict[layout.TaskId, _PlacedRun] = {}
+        self._restored = False
+        self._summary_at_s = float('-inf')
+
+    def restore(self) -> None:
+        """Starts from the replicated summary; done once."""
+        if not self._restored:
+            self._restored = True
+            self._model.restore(self._state.run_times)
+
+    def changed_summary(self, now_s: float) -> ttypes.RunTimeSummary | None:
+        """Returns what to replicate now; None if that can wait.
+
+        Args:
+            now_s: Steady time, in seconds.
+        """
+        if now_s < self._summary_at_s + SUMMARY_INTERVAL_S:
+            return None
+        summary = self._model.snapshot(only_changed=True)
+        if not summary.entries:
+            return None
+        self._summary_at_s = now_s
+        return summary
+
+    def note_replicated(self, summary: ttypes.RunTimeSummary | None) -> None:
+        """Notes that a summary was committed."""
+        if summary is not None:
+            self._model.mark_published(summary)
 
     def placed(
         self, record: ttypes.JobRecord, key: layout.TaskId
--- a/banyantrack/daemons/work_session.py
+++ b/banyantrack/daemons/work_session.py
@@ -439,6 +439,8 @@
                     await curio.sleep(LEASE_CHECK_INTERVAL_S)
                     continue
                 self._round_requested = False
+                if self._forecasts is not None:
+                    self._forecasts.restore()
                 await self._follow_workers()
                 await self._round()
                 await curio.sleep(ROUND_PAUSE_S)
@@ -880,8 +882,16 @@
         self._last_waiting = waiting
 
     async def _start(self, starts: list[ttypes.RunStart]) -> None:
-        if not await self.propose(ttypes.WorkCommand(starts=starts)):
+        now_s = clock.steady_s()
+        summary = None
+        if self._forecasts is not None:
+            # Sent along with starts, so that it needs no commit of its own.
+            summary = self._forecasts.changed_summary(now_s)
+        command = ttypes.WorkCommand(starts=starts, run_times=summary)
+        if not await self.propose(command):
             return
+        if self._forecasts is not None:
+            self._forecasts.note_replicated(summary)
         now_s = clock.steady_s()
         for start in starts:
             key = layout.task_id(start.task)
--- a/banyantrack/tests/test_run_times.py
+++ b/banyantrack/tests/test_run_times.py
@@ -15,6 +15,8 @@
 from banyantrack.workload import capacity
 from banyantrack.workload import durations
 from banyantrack.workload import layout
+from banyantrack.workload import run_time_distribution as distribution
+from banyantrack.workload import run_time_statistics
 from banyantrack.workload import run_times
 
 End = ttypes.EndKind
@@ -85,10 +87,10 @@
 
     def setUp(self) -> None:
         super().setUp()
-        self.forecast = run_times.Forecast(
+        self.forecast = distribution.Forecast(
             (
-                run_times.Part(0.97, math.log(2000), 0.04),
-                run_times.Part(0.03, math.log(14_000), 0.04),
+                distribution.Part(0.97, math.log(2000), 0.04),
+                distribution.Part(0.03, math.log(14_000), 0.04),
             ),
             10.0,
         )
@@ -135,7 +137,7 @@
         super().setUp()
         self.model = run_times.RunTimes()
 
-    def forecast(self, job: ttypes.JobRecord) -> run_times.Forecast:
+    def forecast(self, job: ttypes.JobRecord) -> distribution.Forecast:
         return self.model.forecast(job, job.job.steps[0])
 
     def test_nothing_learned(self) -> None:
@@ -364,14 +366,16 @@
 
     def test_many_customers_and_jobs(self) -> None:
         # Guards against a history that grows without bound.
-        for number in range(run_times.CUSTOMERS_LIMIT + 50):
+        for number in range(run_time_statistics.CUSTOMERS_LIMIT + 50):
             job = record(f'x{number}', builders.step(estimated_ms=1000))
             job.customer = f'c{number}'
             self.model.observe(job, job.job.steps[0], 1000)
         queue = self.model._queues['usual']
-        self.assertEqual(run_times.CUSTOMERS_LIMIT, len(queue.customers))
+        self.assertEqual(
+            run_time_statistics.CUSTOMERS_LIMIT, len(queue.customers)
+        )
         self.assertAlmostEqual(
-            run_times.CUSTOMERS_LIMIT, queue.typical.runs, delta=1
+            run_time_statistics.CUSTOMERS_LIMIT, queue.typical.runs, delta=1
         )
         self.assertLessEqual(len(self.model._jobs), run_times.JOBS_LIMIT)
 
--- a/banyantrack/workload/state.py
+++ b/banyantrack/workload/state.py
@@ -14,6 +14,7 @@
 from banyantrack.workload import crashes
 from banyantrack.workload import layout
 from banyantrack.workload import routing
+from banyantrack.workload import run_time_summary
 from banyantrack.workload import validation
 
 if typing.TYPE_CHECKING:
@@ -64,6 +65,7 @@
         # in the order of their departure.
         self._departures: dict[str, int] = {}
         self._waves: dict[int, ttypes.Wave] = {}
+        self._run_times = run_time_summary.RunTimeEntries()
         self._generation = 0
 
     @property
@@ -91,6 +93,11 @@
         """Waves of upkeep by number."""
         return self._waves
 
+    @property
+    def run_times(self) -> run_time_summary.RunTimeEntries:
+        """What leaders have learned of run times."""
+        return self._run_times
+
     @property
     def generation(self) -> int:
         """Counter that increases with each applied command or restore."""
@@ -137,6 +144,7 @@
         self._generation += 1
         if command.config is not None:
             self._apply_config(command.config)
+        self._run_times.merge(command.run_times)
         if command.submit is not None:
             return self._submit(command.submit, now_ms)
         if command.cancel is not None:
@@ -165,6 +173,7 @@
                 ttypes.Departure(worker_id=worker_id, incarnation=incarnation)
                 for worker_id, incarnation in self._departures.items()
             ],
+            run_times=self._run_times.snapshot(),
         )
 
     def restore(self, snapshot: ttypes.WorkSnapshot | None) -> None:
@@ -192,6 +201,7 @@
             departure.worker_id: departure.incarnation
             for departure in snapshot.departures or ()
         }
+        self._run_times.merge(snapshot.run_times)
         for record in snapshot.jobs:
             self._update_active(record)
             for key, task in layout.iter_tasks(record):
--- a/schema/workload.thrift
+++ b/schema/workload.thrift
@@ -235,6 +235,19 @@
   2: string machine
 }
 
+// Statistics of run times of one queue, or of one of its customers.
+struct RunTimeEntry {
+  1: string queue
+  // Left out for what all customers of the queue share.
+  2: optional string customer
+  // Thousandths, as in `workload/run_time_statistics.py`.
+  3: list<i32> values
+}
+
+struct RunTimeSummary {
+  1: list<RunTimeEntry> entries
+}
+
 struct WorkCommand {
   1: optional WorkConfig config
   2: optional SubmitCommand submit
@@ -244,6 +257,8 @@
   6: optional list<WorkerRecord> workers
   7: optional Wave wave
   8: optional list<WaveBegun> begun
+  // Entries of run times to store; they replace those of the same keys.
+  10: optional RunTimeSummary run_times
 }
 
 // Incarnation of a worker that has said that it ends.
@@ -260,6 +275,8 @@
   // Whether the build that wrote this records crashes under tasks.
   5: optional bool records_crashes
   6: optional list<Departure> departures
+  // The stored entries, the latest changed ones last.
+  8: optional RunTimeSummary run_times
 }
 
 enum JobOperation { SUBMIT = 1, READ = 2, CANCEL = 3, COUNT = 4 }
