--- a/banyantrack/daemons/work_session.py
+++ b/banyantrack/daemons/work_session.py
@@ -27,6 +27,7 @@
 from banyantrack.core import signals
 from banyantrack.daemons import advisor
 from banyantrack.daemons import departures
+from banyantrack.daemons import run_forecasts
 from banyantrack.daemons import upkeep
 from banyantrack.daemons import worker_link
 from banyantrack.generated.workload import ttypes
@@ -42,6 +43,7 @@
 from banyantrack.workload import planner as planner_module
 from banyantrack.workload import preemption
 from banyantrack.workload import progress
+from banyantrack.workload import run_times
 from banyantrack.workload import speeds as speeds_module
 from banyantrack.workload import state as state_module
 from banyantrack.workload import worker_client
@@ -158,7 +160,20 @@
         self._metrics = metrics
         self._term = replica.term
         self._links: dict[str, worker_link.WorkerLink] = {}
-        self._durations = durations_module.LearnedDurations()
+        self._durations = durations_module.MODELS.get(
+            options.run_time_forecasts or 'off'
+        )()
+        self._forecasts: run_forecasts.RunForecasts | None = None
+        if isinstance(self._durations, run_times.RunTimes):
+            self._forecasts = run_forecasts.RunForecasts(
+                state,
+                self._durations,
+                metrics,
+                remote_factor=options.remote_factor,
+                lease_ms=options.lease_ms or 0,
+                stop_ms=options.stop_ms,
+                speed=self._worker_speed,
+            )
         self._planner = planner_module.Planner(
             state,
             self._durations,
@@ -554,6 +569,13 @@
             sure_speed *= progress.SLOW_RATE_SHARE
         return speed, sure_speed
 
+    def _worker_speed(self, worker_id: str) -> float:
+        """Returns the speed of a worker; 1.0 unless speeds are used."""
+        worker = self._state.workers.get(worker_id)
+        if not self._speeds.in_use or worker is None:
+            return 1.0
+        return self._speeds.speed(_machine_id(worker))
+
     def _speed_factor(self, end: ttypes.RunEnd, step: ttypes.Step) -> float:
         """Returns the factor from a run time to that at speed 1.0."""
         worker = self._state.workers.get(end.worker_id)
@@ -577,6 +599,8 @@
                     await curio.sleep(LEASE_CHECK_INTERVAL_S)
                     continue
                 self._round_requested = False
+                if self._forecasts is not None:
+                    self._forecasts.restore()
                 await self._follow_workers()
                 await self._round()
                 await curio.sleep(ROUND_PAUSE_S)
@@ -931,11 +955,14 @@
         )
 
     def _remaining_ms(self, run: capacity.RunAllocation) -> float | None:
-        return self._progress.remaining_ms(
+        remaining_ms = self._progress.remaining_ms(
             run.task.worker_id,
             layout.RunId(run.key, run.task.run),
             clock.steady_s(),
         )
+        if remaining_ms is None and self._forecasts is not None:
+            return self._forecasts.remaining_ms(run, clock.now_ms())
+        return remaining_ms
 
     def _stopping(self) -> set[layout.RunId]:
         found: set[layout.RunId] = set()
@@ -1067,14 +1094,25 @@
         self._last_waiting = waiting
 
     async def _start(self, starts: list[ttypes.RunStart]) -> None:
-        if not await self.propose(ttypes.WorkCommand(starts=starts)):
+        now_s = clock.steady_s()
+        summary = None
+        if self._forecasts is not None:
+            # Sent along with starts, so that it needs no commit of its own.
+            summary = self._forecasts.changed_summary(now_s)
+        command = ttypes.WorkCommand(starts=starts, run_times=summary)
+        if not await self.propose(command):
             return
+        if self._forecasts is not None:
+            self._forecasts.note_replicated(summary)
         now_s = clock.steady_s()
         for start in starts:
             key = layout.task_id(start.task)
             record = self._state.jobs.get(key.job_id)
             if record is not None and record.job.steps[key.step].gang:
                 self._gang_starts[key.group] = _GangStart(start.run, now_s)
+            forecast = {}
+            if record is not None and self._forecasts is not None:
+                forecast = self._forecasts.placed(record, key)
             logs.event(
                 _LOG,
                 'run_placed',
@@ -1082,6 +1120,7 @@
                 run=start.run,
                 worker=start.worker_id,
                 speed=self._logged_speed(start.worker_id),
+                **forecast,
             )
             link = self._links.get(start.worker_id)
             if link is not None:
@@ -1214,6 +1253,16 @@
         ran_ms: float,
     ) -> None:
         kind = ttypes.EndKind._VALUES_TO_NAMES[end.kind].lower()
+        record = self._state.jobs.get(key.job_id)
+        forecast = {}
+        if (
+            self._forecasts is not None
+            and record is not None
+            and run == end.run
+        ):
+            forecast = self._forecasts.ended(
+                record, key, end, ran_ms, clock.now_ms()
+            )
         logs.event(
             _LOG,
             'run_ended',
@@ -1222,11 +1271,11 @@
             worker=end.worker_id,
             kind=kind,
             ran_ms=ran_ms if run == end.run else None,
+            **forecast,
         )
         self._metrics.counter('banyan_runs_ended', kind=kind).add()
         self._progress_percent.pop(key, None)
         self._checkpoints.pop(key, None)
-        record = self._state.jobs.get(key.job_id)
         if record is None or run != end.run:
             return
         step = record.job.steps[key.step]
@@ -1234,7 +1283,7 @@
             self._forget_failures(
                 end.worker_id, clock.steady_s() - ran_ms / 1000
             )
-            if not end.checkpoint:
+            if not end.checkpoint and self._forecasts is None:
                 ran_ms *= self._speed_factor(end, step)
                 self._durations.observe(record, step, ran_ms)
         elif end.kind == ttypes.EndKind.FAILED:
--- a/banyantrack/tests/test_evacuations.py
+++ b/banyantrack/tests/test_evacuations.py
@@ -358,7 +358,7 @@
                 raise replication_errors.UnknownOutcomeError('lost')
 
         lost = work_api.WorkApi(
-            self.replica, self.state, Lost(self.state), None
+            self.replica, self.state, Lost(self.state), None, None
         )
         found = findings.Findings()
         self.assertRaises(
--- a/banyantrack/workload/state.py
+++ b/banyantrack/workload/state.py
@@ -15,6 +15,7 @@
 from banyantrack.workload import evacuations
 from banyantrack.workload import layout
 from banyantrack.workload import routing
+from banyantrack.workload import run_time_summary
 from banyantrack.workload import validation
 
 if typing.TYPE_CHECKING:
@@ -66,6 +67,7 @@
         self._departures: dict[str, int] = {}
         self._waves: dict[int, ttypes.Wave] = {}
         self._evacuations = evacuations.EvacuationTable()
+        self._run_times = run_time_summary.RunTimeEntries()
         self._generation = 0
 
     @property
@@ -98,6 +100,11 @@
         """Evacuations of availability zones."""
         return self._evacuations
 
+    @property
+    def run_times(self) -> run_time_summary.RunTimeEntries:
+        """What leaders have learned of run times."""
+        return self._run_times
+
     @property
     def generation(self) -> int:
         """Counter that increases with each applied command or restore."""
@@ -145,6 +152,7 @@
         self._generation += 1
         if command.config is not None:
             self._apply_config(command.config)
+        self._run_times.merge(command.run_times)
         if command.submit is not None:
             return self._submit(command.submit, now_ms)
         if command.cancel is not None:
@@ -176,6 +184,7 @@
                 for worker_id, incarnation in self._departures.items()
             ],
             evacuations=self._evacuations.snapshot(),
+            run_times=self._run_times.snapshot(),
         )
 
     def restore(self, snapshot: ttypes.WorkSnapshot | None) -> None:
@@ -208,6 +217,7 @@
             self._evacuations = evacuations_before
         else:
             self._evacuations.restore(snapshot.evacuations)
+        self._run_times.merge(snapshot.run_times)
         for record in snapshot.jobs:
             self._update_active(record)
             for key, task in layout.iter_tasks(record):
--- a/schema/settings.thrift
+++ b/schema/settings.thrift
@@ -106,6 +106,9 @@
   // Least ratio of the speeds of the fastest and the slowest tenth of the
   // workers at which placement uses speeds; 0 for never.
   17: optional double speed_spread_min (default = "0", min = "0", max = "1000")
+  // Forecasts of run times: a single expected time for each queue, or a
+  // distribution that is learned from ended runs.
+  19: optional string run_time_forecasts (default = "off", choices = "off,learned")
 }
 
 // The platform's interface of an entry.
--- a/schema/workload.thrift
+++ b/schema/workload.thrift
@@ -255,6 +255,19 @@
   4: optional i64 ended_ms
 }
 
+// Statistics of run times of one queue, or of one of its customers.
+struct RunTimeEntry {
+  1: string queue
+  // Left out for what all customers of the queue share.
+  2: optional string customer
+  // Thousandths, as in `workload/run_time_statistics.py`.
+  3: list<i32> values
+}
+
+struct RunTimeSummary {
+  1: list<RunTimeEntry> entries
+}
+
 struct WorkCommand {
   1: optional WorkConfig config
   2: optional SubmitCommand submit
@@ -265,6 +278,8 @@
   7: optional Wave wave
   8: optional list<WaveBegun> begun
   9: optional EvacuationCommand evacuation
+  // Entries of run times to store; they replace those of the same keys.
+  10: optional RunTimeSummary run_times
 }
 
 // Incarnation of a worker that has said that it ends.
@@ -283,6 +298,8 @@
   6: optional list<Departure> departures
   // Not set by a build that does not record evacuations.
   7: optional list<Evacuation> evacuations
+  // The stored entries, the latest changed ones last.
+  8: optional RunTimeSummary run_times
 }
 
 enum JobOperation { SUBMIT = 1, READ = 2, CANCEL = 3, COUNT = 4 }
