Bound connections to workers, idle renewals and rounds in a large fleet

Change: connections for renewals count in worker_connections (3,072), so that orders get what they leave; idle workers take 300 renewals a second together (unchanged up to 600 workers); after a round the leader pauses for half of the time that planning took (unchanged up to 20 ms).

--- a/banyantrack/daemons/work_session.py
+++ b/banyantrack/daemons/work_session.py
@@ -64,6 +64,9 @@
 # Pause after each round, so that changes which arrive together are planned in
 # one round.
 ROUND_PAUSE_S = 0.01
+# Least pause after a round, as a share of the time that it took to plan. In a
+# large fleet, rounds would otherwise leave no time to renew leases.
+ROUND_PAUSE_SHARE = 0.5
 # Started members of a gang wait `gang_ms` for the others. A gang whose
 # members are not all confirmed within this share of that time is stopped.
 GANG_START_SHARE = 0.4
@@ -190,6 +193,8 @@
         self._progress = progress.ProgressWatch()
         self._round_signal = signals.Signal()
         self._round_requested = True
+        # Time that the last round took to plan, in seconds.
+        self._planning_s = 0.0
         self._retry_at_ms: dict[layout.GroupKey, float] = {}
         self._advisor = advisor.Advisor(
             state, platform_client, self.request_round
@@ -233,6 +238,11 @@
         """Fencing token: the term, which no two leaders share."""
         return self._term
 
+    @property
+    def worker_count(self) -> int:
+        """Number of workers that this session has links to."""
+        return len(self._links)
+
     def leads(self) -> bool:
         """Whether no other leader can have been elected.
 
@@ -603,7 +613,9 @@
                     self._forecasts.restore()
                 await self._follow_workers()
                 await self._round()
-                await curio.sleep(ROUND_PAUSE_S)
+                await curio.sleep(
+                    max(ROUND_PAUSE_S, ROUND_PAUSE_SHARE * self._planning_s)
+                )
                 if not self._round_requested:
                     await self._round_signal.wait_for(IDLE_ROUND_INTERVAL_S)
         finally:
@@ -1006,8 +1018,9 @@
             await self._links[worker_id].check()
         for stop in plan.stops:
             await self._stop(stop.key, stop.run, stop.worker_id, stop.reason)
+        self._planning_s = time.monotonic() - started_s
         self._metrics.histogram('banyan_work_round_us').record(
-            time.monotonic() - started_s
+            self._planning_s
         )
         if plan.starts:
             await self._start(plan.starts)
--- a/banyantrack/daemons/worker_link.py
+++ b/banyantrack/daemons/worker_link.py
@@ -39,8 +39,10 @@
 # Longest delay before a loop that an unexpected error has ended runs again.
 MAX_FAILURE_DELAY_S = 5.0
 # Interval at which the lease of an idle worker is renewed, so that a silent
-# worker is detected before runs are placed on it.
+# worker is detected before runs are placed on it. In a large fleet it is
+# longer, so that all idle workers together take at most this many renewals.
 IDLE_HOLD_INTERVAL_S = 2.0
+IDLE_HOLDS_PER_S = 300
 # A worker that has answered within this time is not checked before a start.
 RECENT_ANSWER_S = 0.3
 # Attempts to send a start that is not answered.
@@ -60,6 +62,10 @@
     def token(self) -> int:
         """Fencing token."""
 
+    @property
+    def worker_count(self) -> int:
+        """Number of workers that the leader has links to."""
+
     def leads(self) -> bool:
         """Whether no other leader can have been elected."""
 
@@ -479,7 +485,7 @@
                 and not self._live_runs()
             ):
                 self._clear_idle_state()
-                if await self._hold_signal.wait_for(IDLE_HOLD_INTERVAL_S):
+                if await self._hold_signal.wait_for(self._idle_interval_s()):
                     continue
             if not self._owner.leads():
                 await curio.sleep(RETRY_DELAY_S)
@@ -491,6 +497,11 @@
                 await self._handle_silence(error)
                 await curio.sleep(RETRY_DELAY_S)
 
+    def _idle_interval_s(self) -> float:
+        return max(
+            IDLE_HOLD_INTERVAL_S, self._owner.worker_count / IDLE_HOLDS_PER_S
+        )
+
     async def _hold_once(self) -> None:
         sent_s = clock.steady_s()
         answers = self._responsive and not self._unanswered
--- a/banyantrack/platform/workers.py
+++ b/banyantrack/platform/workers.py
@@ -99,17 +99,18 @@
 
     Args:
         worker: The worker.
-        order_connections: Limits the open connections for orders to all
-            workers.
+        connections: Limits the open connections to all workers.
     """
 
     def __init__(
         self,
         worker: ttypes.WorkerRecord,
-        order_connections: idle_connections.IdleConnections,
+        connections: idle_connections.IdleConnections,
     ) -> None:
         self._worker = worker
-        self._order_connections = order_connections
+        self._connections = connections
+        # The connection for renewals stays open.
+        connections.reserve()
         self._order_client = http_client.HttpClient(worker.address)
         # A renewal of the lease may wait until a run ends. It has a separate
         # connection so that it does not delay orders.
@@ -210,7 +211,8 @@
 
     async def close(self) -> None:
         """Closes all connections."""
-        self._order_connections.forget(self._order_client)
+        self._connections.forget(self._order_client)
+        self._connections.release()
         await self._order_client.close()
         await self._lease_client.close()
 
@@ -227,7 +229,7 @@
                 client, path, values, timeout_s=timeout_s
             )
         finally:
-            await self._order_connections.note_used(client)
+            await self._connections.note_used(client)
         body = self._parse_body(answer)
         outcome = await self._checked_outcome(client, answer, body)
         return worker_client.OrderReply(outcome, _clock_ms(body))
@@ -370,13 +372,13 @@
                 options.advice_address
             )
         self._machines_address = options.machines_address
-        self._order_connections = idle_connections.IdleConnections(
-            options.order_connections
+        self._connections = idle_connections.IdleConnections(
+            options.worker_connections
         )
 
     def open(self, worker: ttypes.WorkerRecord) -> worker_client.WorkerClient:
         """Returns a client of one incarnation of a worker."""
-        return HttpWorkerClient(worker, self._order_connections)
+        return HttpWorkerClient(worker, self._connections)
 
     async def advise(
         self, group: layout.GroupKey, workers: list[str], *, timeout_s: float
--- a/banyantrack/testing/work_simulation.py
+++ b/banyantrack/testing/work_simulation.py
@@ -50,8 +50,8 @@
 LATE_S = (2.0, 12.0)
 # Workers above which reports are spread over members; more than it has.
 LEADER_REPORTS = 500
-# Connections for orders that stay open; more than it has workers.
-ORDER_CONNECTIONS = 500
+# Connections to workers that stay open; more than it needs.
+WORKER_CONNECTIONS = 500
 # Time from the start of an executor until control has recorded it.
 REGISTRATION_DELAY_S = 0.1
 OPTIONS = settings.ControlPlatformSettings(
@@ -265,7 +265,7 @@
         self, worker: ttypes.WorkerRecord, member: Member, group: Group
     ) -> None:
         super().__init__(
-            worker, idle_connections.IdleConnections(ORDER_CONNECTIONS)
+            worker, idle_connections.IdleConnections(WORKER_CONNECTIONS)
         )
         self._order_client = _Connection(worker.address, member, group)
         self._lease_client = _Connection(worker.address, member, group)
--- a/banyantrack/tests/test_report_spread.py
+++ b/banyantrack/tests/test_report_spread.py
@@ -232,6 +232,19 @@
             curio.run(idle.note_used, client)
         self.assertEqual([0, 1, 1], [client.closed for client in clients])
 
+    def test_reserved_connections_leave_fewer_for_orders(self) -> None:
+        """Renewals and orders together stay within the descriptors."""
+        least = idle_connections.MIN_CONNECTIONS
+        idle = idle_connections.IdleConnections(least + 2)
+        for _ in range(100):
+            idle.reserve()
+        clients = [_FakeClient() for _ in range(least + 1)]
+        for client in clients:
+            curio.run(idle.note_used, client)
+        self.assertEqual(1, clients[0].closed)
+        idle.release()
+        self.assertEqual(least, len(idle))
+
     def test_closed_client_is_forgotten(self) -> None:
         idle = idle_connections.IdleConnections(1)
         client = _FakeClient()
--- a/banyantrack/tests/test_worker_link.py
+++ b/banyantrack/tests/test_worker_link.py
@@ -121,6 +121,7 @@
     """
 
     token = 1
+    worker_count = 1
 
     def __init__(self) -> None:
         self.rounds = 0
--- a/banyantrack/transport/idle_connections.py
+++ b/banyantrack/transport/idle_connections.py
@@ -13,24 +13,43 @@
 if typing.TYPE_CHECKING:
     from banyantrack.transport import http_client
 
+# Open connections that are allowed however many are reserved; orders to a few
+# workers often follow each other.
+MIN_CONNECTIONS = 64
+
 
 class IdleConnections:
     """Closes the connections that have been idle for longest.
 
     Args:
-        limit: Largest number of open connections; those in use may exceed it.
+        limit: Largest number of open connections, reserved ones included;
+            those in use may exceed it.
     """
 
     def __init__(self, limit: int) -> None:
-        self._limit = limit
+        self._total_limit = limit
+        self._reserved = 0
         # In the order of their last use.
         self._clients: collections.OrderedDict[
             http_client.HttpClient, None
         ] = collections.OrderedDict()
 
+    @property
+    def _limit(self) -> int:
+        least = min(MIN_CONNECTIONS, self._total_limit)
+        return max(self._total_limit - self._reserved, least)
+
     def __len__(self) -> int:
         return len(self._clients)
 
+    def reserve(self) -> None:
+        """Counts a connection that stays open and is closed by its owner."""
+        self._reserved += 1
+
+    def release(self) -> None:
+        """Ends the count of a reserved connection."""
+        self._reserved -= 1
+
     async def note_used(self, client: http_client.HttpClient) -> None:
         """Notes a request of a client, and closes idle connections.
 
--- a/schema/settings.thrift
+++ b/schema/settings.thrift
@@ -97,9 +97,10 @@
   // Time that runs in an evacuated zone are left before they are moved; 0 to
   // leave them until they end.
   15: optional i32 evacuation_grace_ms (default = "0", min = "0", max = "86400000")
-  // Connections for orders to workers that stay open at once; beyond this,
-  // those that were idle for longest are closed.
-  22: optional i32 order_connections (default = "512", min = "1", max = "100000")
+  // Connections to workers that stay open at once: one to each for renewals
+  // of its lease, and others for orders, of which those that were idle for
+  // longest are closed.
+  22: optional i32 worker_connections (default = "3072", min = "1", max = "100000")
   // Workers above which they report to all members in turn, not only to the
   // leader.
   23: optional i32 leader_reports (default = "500", min = "0", max = "1000000")
