--- a/banyantrack/tests/test_jobs_under_load.py
+++ b/banyantrack/tests/test_jobs_under_load.py
@@ -40,3 +40,41 @@
             for _ in range(2)
         )
         self.assertEqual(first, second)
+
+
+class TestWorkersOfThreeSpeeds(testtools.TestCase):
+    """Load: 176 workers, a third each at 0.6, 1.0 and 1.6 times."""
+
+    def run_site(self, name: str, seed: int, spread_min: float):
+        return job_model.Simulation(
+            job_model.SITES[name],
+            seed,
+            load=1.0,
+            length_s=20.0,
+            speed_spread_min=spread_min,
+        ).run()
+
+    def test_fewer_urgent_jobs_are_late(self) -> None:
+        # Guards against urgent gangs on workers on which they are late. The
+        # first seconds, before any speed is known, are included.
+        late = {}
+        worth = {}
+        for spread_min in (0.0, 1.5):
+            verdicts = [
+                self.run_site('exchange-grown-mixed', seed, spread_min)
+                for seed in range(2)
+            ]
+            late[spread_min] = statistics.fmean(
+                1 - v.in_time['urgent'] for v in verdicts
+            )
+            worth[spread_min] = statistics.fmean(
+                v.earned - v.price for v in verdicts
+            )
+        self.assertLess(late[1.5], 0.75 * late[0.0])
+        self.assertGreater(worth[1.5], worth[0.0])
+
+    def test_equal_workers_are_used_as_without_speeds(self) -> None:
+        self.assertEqual(
+            self.run_site('exchange-even', 0, 0.0),
+            self.run_site('exchange-even', 0, 1.5),
+        )
