Dry run of a round: where a job would be placed

Cause: operators ask where a job would go and why before they submit it. The planner returns its units and rejections; a model for a dry run shares what is learned and keeps nothing.

--- a/banyantrack/daemons/work_session.py
+++ b/banyantrack/daemons/work_session.py
@@ -34,6 +34,7 @@
 from banyantrack.workload import availability
 from banyantrack.workload import capacity
 from banyantrack.workload import crashes
+from banyantrack.workload import dry_run
 from banyantrack.workload import durations as durations_module
 from banyantrack.workload import evacuation
 from banyantrack.workload import layout
@@ -794,20 +795,49 @@
             found |= link.stopping
         return found
 
-    async def _round(self) -> None:
-        started_s = time.monotonic()
-        await self._stop_unwanted()
-        await self._send_missing_starts()
-        await self._send_paces()
-        stopping = self._stopping()
-        fleet = capacity.Fleet(
-            self._state,
+    def _make_fleet(
+        self, state: state_module.WorkState, stopping: set[layout.RunId]
+    ) -> capacity.Fleet:
+        return capacity.Fleet(
+            state,
             stopping=stopping,
             usable=self._is_usable,
             penalty=self._penalty,
             answered_recently=self._answered_recently,
             remaining_ms=self._remaining_ms,
         )
+
+    def dry_run(
+        self, job: ttypes.TaskJob, queue: ttypes.Queue, customer: str
+    ) -> dict[str, object]:
+        """Returns where a job would be placed now; changes nothing.
+
+        Args:
+            job: The job, with an id that no job has.
+            queue: Its queue.
+            customer: Its customer.
+        """
+        now_ms = clock.now_ms()
+        stopping = self._stopping()
+        return dry_run.explain(
+            self._state,
+            state_module.new_record(job, queue, customer, now_ms),
+            self._planner,
+            self._durations,
+            lambda state: self._make_fleet(state, stopping),
+            now_ms=now_ms,
+            blocked=self._retry_at_ms,
+            stopping=stopping,
+            approvals=self._advisor.approvals,
+        )
+
+    async def _round(self) -> None:
+        started_s = time.monotonic()
+        await self._stop_unwanted()
+        await self._send_missing_starts()
+        await self._send_paces()
+        stopping = self._stopping()
+        fleet = self._make_fleet(self._state, stopping)
         await self._evacuate(fleet)
         for run in await self._upkeep.round(fleet, self._unready_members):
             await self._stop(
--- a/banyantrack/workload/durations.py
+++ b/banyantrack/workload/durations.py
@@ -82,6 +82,10 @@
             abs(typical_deviation) - stats.typical_error
         )
 
+    def for_dry_run(self) -> LearnedDurations:
+        """Returns a model whose answers change nothing of this one."""
+        return self
+
     def expected_ms(
         self, record: ttypes.JobRecord, step: ttypes.Step
     ) -> float:
--- a/banyantrack/workload/planner.py
+++ b/banyantrack/workload/planner.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 import collections
+import copy
 import dataclasses
 import enum
 import typing
@@ -56,6 +57,15 @@
     ISOLATION = 'isolation'
 
 
+class Rejection(enum.Enum):
+    """Why no task of a unit may start on a worker."""
+
+    UNUSABLE = 'not usable'
+    KEPT_FREE = 'kept free for urgent jobs'
+    ISOLATED = 'isolated'
+    LABEL = 'lacks the required label'
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Waiting:
     """Why a group of tasks is pending.
@@ -89,6 +99,9 @@
             by group.
         checks: Ids of the workers that must answer a check before tasks
             start there.
+        units: All units of the round, in scheduling order.
+        kept_free: Workers that are kept free for urgent units, by pool.
+        isolation: Workers that are closed to other jobs.
     """
 
     starts: list[ttypes.RunStart] = dataclasses.field(default_factory=list)
@@ -101,6 +114,23 @@
         default_factory=dict
     )
     checks: set[str] = dataclasses.field(default_factory=set)
+    units: list[units_module.Unit] = dataclasses.field(default_factory=list)
+    kept_free: dict[str, set[capacity.WorkerCapacity]] = dataclasses.field(
+        default_factory=dict
+    )
+    isolation: isolation_module.Isolation | None = None
+
+    def rejection(
+        self, worker: capacity.WorkerCapacity, unit: units_module.Unit
+    ) -> Rejection | None:
+        """Returns why a unit may not start on a worker; None if it may."""
+        pool = unit.record.queue.pool
+        return _rejection(
+            worker,
+            unit,
+            self.kept_free.get(pool, set()) if unit.priority > 0 else set(),
+            self.isolation,
+        )
 
 
 class Planner:
@@ -129,6 +159,19 @@
         self._remote_factor = remote_factor
         self._usual_stop_ms = USUAL_STOP_SHARE * stop_ms
 
+    def copy_for(
+        self, state: state_module.WorkState, durations: units_module.Durations
+    ) -> Planner:
+        """Returns a planner for a hypothetical state.
+
+        Its rounds change nothing of this planner.
+        """
+        planner = copy.copy(self)
+        planner._state = state
+        planner._durations = durations
+        planner._values = copy.deepcopy(self._values)
+        return planner
+
     def plan(
         self,
         fleet: capacity.Fleet,
@@ -150,9 +193,9 @@
             approvals: Answers of the policy service by group, without
                 expired tickets.
         """
-        plan = Plan()
         isolation = isolation_module.Isolation(fleet, now_ms)
-        kept_free: dict[str, set[capacity.WorkerCapacity]] = {}
+        plan = Plan(isolation=isolation)
+        kept_free = plan.kept_free
         urgent_demand = headroom.urgent_demand(self._state, now_ms)
         units = [
             part
@@ -165,6 +208,7 @@
             )
             for part in isolation_module.split_suspects(unit)
         ]
+        plan.units = units
         for unit in units:
             if isolation_module.may_wait(unit, now_ms):
                 _hold_for_suspects(fleet, unit, isolation)
@@ -232,10 +276,7 @@
         eligible = [
             worker
             for worker in fleet.of_pool(unit.record.queue.pool)
-            if worker.usable
-            and worker not in excluded
-            and isolation.allows(worker, unit)
-            and _may_run(worker, unit)
+            if _rejection(worker, unit, excluded, isolation) is None
         ]
         candidates = eligible
         if approved is not None:
@@ -540,6 +581,24 @@
     )
 
 
+def _rejection(
+    worker: capacity.WorkerCapacity,
+    unit: units_module.Unit,
+    excluded: collections.abc.Container[capacity.WorkerCapacity],
+    isolation: isolation_module.Isolation,
+) -> Rejection | None:
+    """Returns why a unit may not start on a worker; None if it may."""
+    if not worker.usable:
+        return Rejection.UNUSABLE
+    if worker in excluded:
+        return Rejection.KEPT_FREE
+    if not isolation.allows(worker, unit):
+        return Rejection.ISOLATED
+    if not _may_run(worker, unit):
+        return Rejection.LABEL
+    return None
+
+
 def _may_run(worker: capacity.WorkerCapacity, unit: units_module.Unit) -> bool:
     label = unit.step.required_label
     return not label or label in worker.record.labels
--- a/banyantrack/workload/run_time_distribution.py
+++ b/banyantrack/workload/run_time_distribution.py
@@ -93,6 +93,19 @@
         high_ms = self._remaining_at(bucket + 1)
         return low_ms + (position - bucket) * (high_ms - low_ms)
 
+    def remaining_quantile_ms(self, ran_ms: float, q: float) -> float:
+        """Returns the time that an active run's remaining time stays within.
+
+        Args:
+            ran_ms: Time that the run has lasted, in milliseconds.
+            q: Probability, above 0 and below 1.
+        """
+        ended = self.share_within(ran_ms)
+        if ended > 1 - 1e-6:
+            return self.remaining_ms(ran_ms)
+        log_ms = self._quantile_log(ended + q * (1 - ended))
+        return max(math.exp(log_ms) - ran_ms, 0.0)
+
     def _remaining_at(self, bucket: int) -> float:
         """Returns the remaining time at the start of a step."""
         found = self._remaining.get(bucket)
--- a/banyantrack/workload/run_times.py
+++ b/banyantrack/workload/run_times.py
@@ -82,7 +82,10 @@
     ) -> None:
         self.queue = queue
         self.customer_name = customer_name
-        self.customer = queue.customer(customer_name)
+        # Customers that no job has been learned from are not kept.
+        self.customer = queue.customers.get(
+            customer_name, statistics_module.CustomerStatistics()
+        )
         self.steps: dict[int, _StepRuns] = {}
         self.changes = 0
 
@@ -112,7 +115,9 @@
         """
         job = self._jobs.get(record.job.job_id) or self._new_job(record)
         runs = job.steps.get(id(step)) or _new_step(job, record, step)
-        customer = job.customer
+        customer = job.customer = job.queue.customers.get(
+            job.customer_name, job.customer
+        )
         if customer.checked != job.queue.changes:
             self._refresh(job.queue, customer)
         if (
@@ -187,6 +192,13 @@
             runs.learned = False
             runs.finished = runs.finished[len(runs.finished) // 2 :][:1]
 
+    def for_dry_run(self) -> RunTimes:
+        """Returns a model whose forecasts change nothing of this one."""
+        model = RunTimes()
+        model._queues = dict(self._queues)
+        model._jobs = dict(self._jobs)
+        return model
+
     def snapshot(self, *, only_changed: bool = False) -> ttypes.RunTimeSummary:
         """Returns a summary, from which a new leader starts.
 
--- a/banyantrack/workload/state.py
+++ b/banyantrack/workload/state.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import copy
 import typing
 
 from banyantrack.core import findings
@@ -130,6 +131,16 @@
             for key, task in runs.items()
         ]
 
+    def with_job(self, record: ttypes.JobRecord) -> WorkState:
+        """Returns a hypothetical state with one more job.
+
+        It shares its records with this state and must not be changed.
+        """
+        state = copy.copy(self)
+        state._jobs = self._jobs | {record.job.job_id: record}
+        state._active = self._active | {record.job.job_id: record}
+        return state
+
     def apply(self, command: ttypes.WorkCommand, now_ms: int) -> typing.Any:
         """Applies a command.
 
@@ -254,16 +265,7 @@
             text = '; '.join(str(finding) for finding in found.found)
             return _answer(Verdict.INVALID, text)
         self._expire(now_ms)
-        count = layout.tasks_per_occurrence(job) * layout.occurrences(job)
-        record = ttypes.JobRecord(
-            job=job,
-            queue=routed.queue,
-            customer=routed.customer,
-            accepted_ms=now_ms,
-            state=State.QUEUED,
-            finished_ms=0,
-            tasks=[_new_task() for _ in range(count)],
-        )
+        record = new_record(job, routed.queue, routed.customer, now_ms)
         self._jobs[job.job_id] = record
         self._active[job.job_id] = record
         return _answer(Verdict.DONE, state=State.QUEUED)
@@ -477,6 +479,22 @@
             wave.state = ttypes.WaveState.COMPLETED
 
 
+def new_record(
+    job: ttypes.TaskJob, queue: ttypes.Queue, customer: str, now_ms: int
+) -> ttypes.JobRecord:
+    """Returns the record of a job that is accepted now."""
+    count = layout.tasks_per_occurrence(job) * layout.occurrences(job)
+    return ttypes.JobRecord(
+        job=job,
+        queue=queue,
+        customer=customer,
+        accepted_ms=now_ms,
+        state=State.QUEUED,
+        finished_ms=0,
+        tasks=[_new_task() for _ in range(count)],
+    )
+
+
 def _new_task() -> ttypes.TaskRecord:
     return ttypes.TaskRecord(
         run=0,
