--- a/banyantrack/cli/operator.py
+++ b/banyantrack/cli/operator.py
@@ -150,13 +150,28 @@
             '-o', '--output', choices=('table', 'json'), default='table'
         )
     explain_parser = commands.add_parser(
-        'explain', help='show the log lines of a request or job'
+        'explain',
+        help='show the log lines of a request or job, or where a job would be'
+        ' placed',
     )
     explain_parser.add_argument(
-        'id', metavar='ID', help='id of a request or a job'
+        'id', metavar='ID', nargs='?', help='id of a request or a job'
     )
     explain_parser.add_argument(
-        'logs', nargs='+', type=pathlib.Path, metavar='LOG'
+        'logs', nargs='*', type=pathlib.Path, metavar='LOG'
+    )
+    explain_parser.add_argument(
+        '--dry-run',
+        action='store_true',
+        help='ask where the job in FILE would be placed now',
+    )
+    explain_parser.add_argument(
+        '-f',
+        '--file',
+        help='queue, customer and job as YAML or JSON; - for standard input',
+    )
+    explain_parser.add_argument(
+        '-o', '--output', choices=('table', 'json'), default='table'
     )
     shell_parser = commands.add_parser(
         'completion', help='print a completion script for bash'
@@ -178,11 +193,14 @@
     """
     # Unlike daemons, commands end when their terminal is closed.
     signal.signal(signal.SIGHUP, signal.SIG_DFL)
-    options = build_parser().parse_args(arguments)
+    parser = build_parser()
+    options = parser.parse_args(arguments)
+    if options.command == 'explain':
+        _check_explain(parser, options)
     if options.command == 'completion':
         print(completion.bash(build_parser()))
         return Exit.DONE
-    if options.command == 'explain':
+    if options.command == 'explain' and not options.dry_run:
         timeline = explain.explain(options.id, options.logs)
         print(explain.render(options.id, timeline))
         return Exit.DONE if timeline.lines else Exit.REFUSED
@@ -207,6 +225,15 @@
         return Exit.REFUSED
 
 
+def _check_explain(
+    parser: argparse.ArgumentParser, options: argparse.Namespace
+) -> None:
+    if options.dry_run and (not options.file or options.id):
+        parser.error('explain --dry-run takes -f FILE and no ID')
+    if not options.dry_run and (options.file or not options.logs):
+        parser.error('explain takes an ID and logs, or --dry-run -f FILE')
+
+
 def _client(options: argparse.Namespace) -> client_module.OperatorClient:
     token = os.environ.get('BANYAN_TOKEN', '')
     if options.token_file is not None:
@@ -425,6 +452,21 @@
     return Exit.DONE
 
 
+@COMMANDS.register('explain')
+def _explain(
+    client: client_module.OperatorClient, options: argparse.Namespace
+) -> int:
+    try:
+        document = yaml.safe_load(_read(options.file))
+        body = json.dumps(document).encode()
+    except (yaml.YAMLError, TypeError, ValueError, RecursionError) as error:
+        raise findings.FindingsError.of(
+            options.file, [findings.Finding(options.file, str(error))]
+        ) from None
+    reply = _call(client, 'POST', '/v1/explain', body=body)
+    return _print_document(options, reply.document, tables.dry_run)
+
+
 @COMMANDS.register('status')
 def _status(
     client: client_module.OperatorClient, options: argparse.Namespace
--- a/banyantrack/cli/tables.py
+++ b/banyantrack/cli/tables.py
@@ -240,3 +240,49 @@
     lines += ['', members(document['control'])]
     lines += ['', rollout(document['rollout'])]
     return '\n'.join(lines)
+
+
+def dry_run(document: Document) -> str:
+    """Returns where a job would be placed, as text."""
+    lines = [
+        f'{document["job"]} in {document["queue"]} of {document["customer"]},'
+        f' {document["queued_units"]} units queued (view of'
+        f' {document["member"]}, {document["view_age_ms"]} ms old)'
+    ]
+    for step in document['steps']:
+        lines += _dry_run_step(step)
+    return '\n'.join(lines)
+
+
+def _dry_run_step(step: Document) -> list[str]:
+    run_time = f'{step["expected_ms"]} ms'
+    if 'p90_ms' in step:
+        run_time += (
+            f' ({step["p10_ms"]} to {step["p90_ms"]} ms, based on'
+            f' {step["based_on_runs"]} runs)'
+        )
+    lines = [f'step {step["step"]}: run time {run_time}']
+    if not step['ready']:
+        after = ', '.join(map(str, step['depends_on']))
+        return [*lines, f'  waits for steps {after}' if after else '  waits']
+    start_ms = step['start_ms']
+    expected = start_ms['expected']
+    start = 'never on these workers' if expected is None else f'{expected} ms'
+    if None not in start_ms.values():
+        start += f' ({start_ms["low"]} to {start_ms["high"]} ms)'
+    lines.append(
+        f'  {step["tasks"]} tasks, position {step["position"]}, start in'
+        f' {start}, latest useful start in {step["latest_start_ms"]} ms'
+    )
+    if step['waits_for']:
+        lines.append(f'  waits for {step["waits_for"]}')
+    lines += [f'  {count} on {name}' for name, count in step['starts'].items()]
+    lines += [
+        f'  stops {stop["task"]}/{stop["run"]} on {stop["worker"]}'
+        for stop in step['stops']
+    ]
+    lines += [
+        f'  {found["workers"]} workers: {reason} ({", ".join(found["named"])})'
+        for reason, found in step['rejected'].items()
+    ]
+    return lines
--- a/banyantrack/daemons/control.py
+++ b/banyantrack/daemons/control.py
@@ -124,6 +124,7 @@
                 self._pool,
                 self._metrics,
             )
+            self._operators.dry_run = self._platform.dry_run
         self._add_gauges()
 
     def _make_locator(
--- a/banyantrack/daemons/control_platform.py
+++ b/banyantrack/daemons/control_platform.py
@@ -9,6 +9,7 @@
 
 from banyantrack.core import clock
 from banyantrack.core import logs
+from banyantrack.daemons import dry_run_api
 from banyantrack.daemons import work_api
 from banyantrack.daemons import work_leadership
 from banyantrack.generated.workload import ttypes
@@ -59,6 +60,7 @@
     ) -> None:
         self._settings = settings
         self._replica = replica
+        self._state = state
         self._pool = pool
         options = settings.platform
         self._leadership = work_leadership.WorkLeadership(
@@ -82,6 +84,21 @@
             ttypes.MembersRequest, self._api.members, concurrent=True
         )
 
+    def dry_run(self, body: bytes) -> dict[str, object]:
+        """Answers where a job would be placed now; changes nothing.
+
+        Args:
+            body: As for `dry_run_api.explain`.
+
+        Raises:
+            FindingsError: If the request is not valid.
+            NotLeaderError: If this member does not lead.
+        """
+        session = self._leadership.session
+        if session is None:
+            raise self._replica.not_leader_error()
+        return dry_run_api.explain(session, self._state, body)
+
     async def run(self) -> None:
         """Serves until cancelled."""
         await self._server.start()
--- a/banyantrack/daemons/operator_api.py
+++ b/banyantrack/daemons/operator_api.py
@@ -58,6 +58,7 @@
     ('rollout', re.compile(r'/v1/rollout')),
     ('watch', re.compile(r'/v1/watch')),
     ('members', re.compile(r'/v1/members')),
+    ('explain', re.compile(r'/v1/explain')),
 ]
 
 
@@ -79,6 +80,10 @@
         state: The replicated state.
         placement: Placement while this member leads.
         rollout: Configuration revision of each entry.
+
+    Attributes:
+        dry_run: Answers where a job of the platform would be placed; None
+            without the platform's interface.
     """
 
     def __init__(
@@ -92,6 +97,9 @@
         self.state = state
         self.placement = placement
         self.rollout = rollout
+        self.dry_run: (
+            collections.abc.Callable[[bytes], dict[str, object]] | None
+        ) = None
 
     async def answer(
         self, request: cluster.OperatorRequest
@@ -567,3 +575,16 @@
         await api.replica.change_voters(add=add, remove=remove)
     logs.event(_LOG, 'members_changed', added=add, removed=remove)
     return _json(200, views.members_view(api))
+
+
+@ROUTES.register('POST explain')
+async def _explain(
+    api: OperatorApi,
+    request: cluster.OperatorRequest,
+    parameters: dict[str, str],
+) -> cluster.OperatorReply:
+    """Answers where a job would be placed now; changes nothing."""
+    if api.dry_run is None:
+        return problems.reply(404, 'the platform interface is not served')
+    await api.ensure_current_state()
+    return _json(200, api.dry_run(request.body))
