--- a/banyantrack/daemons/control.py
+++ b/banyantrack/daemons/control.py
@@ -145,6 +145,7 @@
                 self._metrics,
                 self._limits,
             )
+            self._operators.dry_run = self._platform.dry_run
         self._add_gauges()
 
     def _make_locator(
--- a/banyantrack/daemons/operator_api.py
+++ b/banyantrack/daemons/operator_api.py
@@ -61,6 +61,7 @@
     ('members', re.compile(r'/v1/members')),
     ('evacuations', re.compile(r'/v1/evacuations')),
     ('evacuation', re.compile(r'/v1/evacuations/(?P<zone>[^/]+)')),
+    ('explain', re.compile(r'/v1/explain')),
 ]
 
 
@@ -85,6 +86,10 @@
         evacuations: Orders to evacuate availability zones.
         name_of: Returns the name of the token in an `Authorization` header;
             empty if there is none.
+
+    Attributes:
+        dry_run: Answers where a job of the platform would be placed; None
+            without the platform's interface.
     """
 
     def __init__(
@@ -102,6 +107,9 @@
         self.state = state
         self.placement = placement
         self.rollout = rollout
+        self.dry_run: (
+            collections.abc.Callable[[bytes], dict[str, object]] | None
+        ) = None
 
     async def answer(
         self, request: cluster.OperatorRequest
@@ -578,3 +586,16 @@
         await api.replica.change_voters(add=add, remove=remove)
     logs.event(_LOG, 'members_changed', added=add, removed=remove)
     return json_reply(200, views.members_view(api))
+
+
+@ROUTES.register('POST explain')
+async def _explain(
+    api: OperatorApi,
+    request: cluster.OperatorRequest,
+    parameters: dict[str, str],
+) -> cluster.OperatorReply:
+    """Answers where a job would be placed now; changes nothing."""
+    if api.dry_run is None:
+        return problems.reply(404, 'the platform interface is not served')
+    await api.ensure_current_state()
+    return json_reply(200, api.dry_run(request.body))
