Preemption that weighs the gain of stops (setting `preemption`)

Cause: stopping the runs with the least lost work chooses a victim for each task by itself, stops runs that end sooner than a stop, and stops for jobs whose gain is small.

Change: `workload/contention.py` registers the policy `net-gain`: victims are whole gangs, chosen together for all tasks of a unit; stops must gain twice what they lose; recent victims count three times; runs that end within the stop time finish. `least-loss`, the default, decides as before; its code has moved from the planner to `preemption.LeastLoss`. Log line `preemption_decided`, counters `banyan_preemptions`, `banyan_preempted_runs` and `banyan_preemption_loss_milli`. Failures and stop times are drawn from an own generator, so that decisions are compared on the same arrivals; its figures differ from earlier ones.

--- a/banyantrack/daemons/work_session.py
+++ b/banyantrack/daemons/work_session.py
@@ -159,6 +159,7 @@
             self._durations,
             remote_factor=options.remote_factor,
             stop_ms=options.stop_ms,
+            preemption_policy=options.preemption,
         )
         self._pacer = pacing.Pacer()
         self._sent_percent: dict[layout.RunId, int] = {}
@@ -190,6 +191,7 @@
         self._progress_percent: dict[layout.TaskId, int] = {}
         self._checkpoints: dict[layout.TaskId, str] = {}
         self._last_waiting: dict[layout.GroupKey, planner_module.Waiting] = {}
+        self._refused_preemptions: set[layout.GroupKey] = set()
         self._ended = False
 
     # Interface of links, of upkeep and of departures: `worker_link.Owner`,
@@ -802,6 +804,7 @@
             approvals=self._advisor.approvals,
         )
         self._log_waiting(plan.waiting)
+        self._log_decisions(plan.decisions)
         for group, workers in plan.advice_wanted.items():
             await self._advisor.ask(group, workers)
         for worker_id in plan.checks:
@@ -862,6 +865,43 @@
             )
         self._last_waiting = waiting
 
+    def _log_decisions(
+        self, decisions: dict[layout.GroupKey, preemption.Decision]
+    ) -> None:
+        """Logs decisions to stop runs, and refusals when they begin."""
+        for group, decision in decisions.items():
+            outcome = 'stop' if decision.adopted else 'wait'
+            if not decision.adopted and group in self._refused_preemptions:
+                continue
+            logs.event(
+                _LOG,
+                'preemption_decided',
+                job=group.job_id,
+                occurrence=group.occurrence,
+                step=group.step,
+                outcome=outcome,
+                policy=self._options.preemption,
+                gain=round(decision.gain, 3),
+                loss=round(decision.loss, 3),
+                discarded=round(decision.discarded, 3),
+                stops=decision.stops,
+                waited_ms=round(decision.waited_ms),
+                guaranteed=decision.guaranteed,
+            )
+            self._metrics.counter('banyan_preemptions', outcome=outcome).add()
+            if decision.adopted:
+                self._metrics.counter('banyan_preempted_runs').add(
+                    decision.stops
+                )
+                self._metrics.counter('banyan_preemption_loss_milli').add(
+                    round(1000 * decision.loss)
+                )
+        self._refused_preemptions = {
+            group
+            for group, decision in decisions.items()
+            if not decision.adopted
+        }
+
     async def _start(self, starts: list[ttypes.RunStart]) -> None:
         if not await self.propose(ttypes.WorkCommand(starts=starts)):
             return
--- a/banyantrack/testing/job_model.py
+++ b/banyantrack/testing/job_model.py
@@ -17,11 +17,11 @@
 import typing
 
 from banyantrack.generated.workload import ttypes
+from banyantrack.testing import job_decisions
 from banyantrack.testing import work_builders as builders
 from banyantrack.workload import capacity
 from banyantrack.workload import durations as durations_module
 from banyantrack.workload import layout
-from banyantrack.workload import planner as planner_module
 from banyantrack.workload import state as state_module
 from banyantrack.workload import values
 
@@ -54,6 +54,10 @@
 # Accelerators of a task are drawn from these.
 ACCELERATOR_CHOICES = (1, 2, 4, 8, 8)
 MAX_GANG_ACCELERATORS = 32
+# Load of the contended sites at which demand exceeds their capacity for
+# seconds: the model has no lost workers, so that the load of the deployment
+# that they describe does not suffice.
+CONTENDED_LOAD = 1.5
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -106,12 +110,30 @@
         workers_per_rack: Number of workers in a rack.
         stop_ms: Longest time that a worker takes to stop a run.
         kinds: Kinds of job.
+        customers: Names of the customers; one that is listed several times
+            submits as many times as many jobs.
+        guaranteed_accelerators: Guaranteed accelerators of each customer;
+            None for a sixth of the site.
+        cpu_milli: Processors of a worker, in thousandths.
+        max_gang_accelerators: Most accelerators of a gang.
+        settle_ms: Time after the last arrival in which jobs may still
+            finish.
+        late_values: Value of a job of typical size that ends late, by
+            priority.
     """
 
     workers: int
     workers_per_rack: int
     stop_ms: int
     kinds: tuple[JobKind, ...]
+    customers: tuple[str, ...] = ('growers', 'pickers')
+    guaranteed_accelerators: int | None = None
+    cpu_milli: int = 64_000
+    max_gang_accelerators: int = MAX_GANG_ACCELERATORS
+    settle_ms: float = SETTLE_MS
+    late_values: collections.abc.Mapping[int, float] = dataclasses.field(
+        default_factory=lambda: values.VALUE_LATE
+    )
 
 
 def _site(
@@ -189,6 +211,88 @@
 }
 
 
+def _contended_site(
+    workers: int,
+    scale: float,
+    customers: tuple[str, ...],
+    max_gang_accelerators: int,
+) -> Site:
+    """Returns a site whose demand exceeds its capacity for seconds.
+
+    Args:
+        workers: Number of workers.
+        scale: Factor on the arrivals of a site of 176 workers.
+        customers: Customers, as in `Site`.
+        max_gang_accelerators: Most accelerators of a gang.
+    """
+    return Site(
+        workers,
+        8,
+        200,
+        (
+            JobKind(
+                'urgent',
+                jobs_per_s=4.5 * scale,
+                mean_tasks=5,
+                mean_work_ms=2500,
+                work_sigma=0.5,
+                estimate_sigma=0.9,
+                cpu_milli=3700,
+                memory_mb=16_000,
+                gang_share=1.0,
+                same_rack_share=0.8,
+            ),
+            JobKind(
+                'usual',
+                jobs_per_s=0.67 * 2.8 * scale,
+                mean_tasks=13,
+                mean_work_ms=11_000,
+                work_sigma=0.3,
+                estimate_sigma=0.3,
+                cpu_milli=13_000,
+                memory_mb=40_000,
+                gang_share=1.0,
+                same_rack_share=0.6,
+                checkpointable_share=0.45,
+                cancelled_share=0.05,
+                failure_share=0.05,
+                always_failing_share=0.01,
+            ),
+            JobKind(
+                'patient',
+                jobs_per_s=1.0 * scale,
+                mean_tasks=39,
+                mean_work_ms=6100,
+                work_sigma=0.3,
+                estimate_sigma=0.5,
+                cpu_milli=2800,
+                memory_mb=8000,
+                checkpointable_share=0.45,
+                cancelled_share=0.15,
+                accelerator_choices=(1,),
+            ),
+        ),
+        customers=customers,
+        # A third of the site is guaranteed to its customers together.
+        guaranteed_accelerators=workers * 8 // 3 // len(set(customers)),
+        cpu_milli=32_000,
+        max_gang_accelerators=max_gang_accelerators,
+        settle_ms=40_000.0,
+        late_values={0: 0.8, 1: 0.6, 2: 0.2},
+    )
+
+
+def _customers(count: int) -> tuple[str, ...]:
+    """Returns customers of which a fifth submit three times as many jobs."""
+    names = [f'customer-{number}' for number in range(count)]
+    return (*names, *names[: count // 5], *names[: count // 5])
+
+
+SITES['contended'] = _contended_site(176, 1.0, _customers(20), 128)
+# Same proportions; small enough for tests. A gang fits in one rack.
+SITES['contended-small'] = _contended_site(40, 40 / 176, _customers(10), 64)
+
+
 @dataclasses.dataclass(slots=True)
 class _SimulatedJob:
     """A job and its outcome.
@@ -245,7 +349,12 @@
         thrown_away: Share of processor-seconds that were lost in stopped
             runs.
         price: Value of those as a share of the value of all jobs in time.
-        stops: Number of runs that were stopped.
+        stops: Number of runs that were stopped, also for cancelled jobs.
+        preempted: Number of runs that were stopped for urgent jobs.
+        runs: Number of runs that were started.
+        worst_customers: Earned share of the worst tenth of the customers.
+        largest_jobs: Earned share of the largest tenth of the jobs of each
+            queue, together.
     """
 
     earned: float
@@ -255,6 +364,10 @@
     thrown_away: float
     price: float
     stops: int
+    preempted: int
+    runs: int
+    worst_customers: float
+    largest_jobs: float
 
 
 class Simulation:
@@ -265,17 +378,27 @@
         seed: Seed of arrivals, sizes, run times and failures.
         load: Factor on the usual rate of arrivals.
         length_s: Simulated seconds with arrivals.
+        decision: Name in `job_decisions.DECISIONS`.
     """
 
     def __init__(
-        self, site: Site, seed: int, *, load: float, length_s: float
+        self,
+        site: Site,
+        seed: int,
+        *,
+        load: float,
+        length_s: float,
+        decision: str = 'least-loss',
     ) -> None:
         self._rng = random.Random(seed)
+        # Failures and stop times have an own generator, so that all decisions
+        # are compared on the same arrivals.
+        self._run_rng = random.Random(seed + 1_000_003)
         self._site = site
         self._last_arrival_ms = START_MS + length_s * 1000
         self._state = state_module.WorkState()
         self._durations = durations_module.LearnedDurations()
-        self._planner = planner_module.Planner(
+        self._planner = job_decisions.DECISIONS.get(decision)(
             self._state,
             self._durations,
             remote_factor=REMOTE_FACTOR,
@@ -289,6 +412,8 @@
         self._finished_processor_s = 0.0
         self._lost_processor_s = 0.0
         self._stop_count = 0
+        self._preempted_count = 0
+        self._run_count = 0
         self._next_round_ms = 0.0
         self._run_time_factors: dict[str, float] = {}
         self._make_workers()
@@ -297,7 +422,7 @@
     def run(self) -> Verdict:
         """Runs the simulation to its end."""
         self._schedule(START_MS, self._round)
-        end_ms = self._last_arrival_ms + SETTLE_MS
+        end_ms = self._last_arrival_ms + self._site.settle_ms
         while self._events:
             now_ms, _, callback, arguments = heapq.heappop(self._events)
             if now_ms > end_ms:
@@ -321,15 +446,30 @@
                 number % len(RUN_TIME_FACTORS)
             ]
             rack = f'r{number // self._site.workers_per_rack}'
-            workers.append(builders.worker(name, labels=['a', rack]))
+            workers.append(
+                builders.worker(
+                    name,
+                    labels=['a', rack],
+                    cpu_milli=self._site.cpu_milli,
+                )
+            )
         queues = [
             builders.queue('urgent', 0, stretch=1.5, objective_ms=250),
             builders.queue('usual', 1, stretch=3.0, objective_ms=1000),
             builders.queue('patient', 2, stretch=3.0, objective_ms=3000),
         ]
-        config = builders.config(queues=queues)
-        for account in config.accounts:
-            account.guaranteed_accelerators = self._site.workers * 4 // 3
+        guaranteed = self._site.guaranteed_accelerators
+        if guaranteed is None:
+            guaranteed = self._site.workers * 4 // 3
+        accounts = [
+            ttypes.Account(
+                name=name,
+                keys=[builders.customer_key(name)],
+                guaranteed_accelerators=guaranteed,
+            )
+            for name in dict.fromkeys(self._site.customers)
+        ]
+        config = builders.config(queues=queues, accounts=accounts)
         command = ttypes.WorkCommand(config=config, workers=workers)
         self._state.apply(command, START_MS)
 
@@ -355,7 +495,8 @@
         gang = count > 1 and rng.random() < kind.gang_share
         if gang:
             count = min(
-                count, max(MAX_GANG_ACCELERATORS // task_accelerators, 1)
+                count,
+                max(self._site.max_gang_accelerators // task_accelerators, 1),
             )
         usual_ms = kind.mean_work_ms * rng.lognormvariate(
             -(kind.work_sigma**2) / 2, kind.work_sigma
@@ -390,7 +531,7 @@
             self._state,
             job,
             name=kind.queue,
-            customer=rng.choice(('growers', 'pickers')),
+            customer=rng.choice(self._site.customers),
             now_ms=int(now_ms),
         )
         if simulated.cancelled:
@@ -403,7 +544,7 @@
         command = ttypes.CancelCommand(
             host=builders.HOST,
             path=f'/{queue}/{job_id}',
-            key=builders.KEYS[customer],
+            key=builders.customer_key(customer),
         )
         self._state.apply(ttypes.WorkCommand(cancel=command), int(now_ms))
         for run_id in list(self._runs):
@@ -437,11 +578,13 @@
             stopping=self._stopping,
             approvals={},
         )
+        self._preempted_count += len(plan.stops)
         for stop in plan.stops:
             self._stop(now_ms, layout.RunId(stop.key, stop.run))
         if plan.starts:
             command = ttypes.WorkCommand(starts=plan.starts)
             self._state.apply(command, int(now_ms))
+            self._run_count += len(plan.starts)
             self._start_runs(now_ms + ORDER_DELAY_MS, plan.starts)
 
     def _remaining_ms(
@@ -502,7 +645,9 @@
         return max(remaining_ms, 1.0) * factor + restore_ms
 
     def _draw_failure(self, job: _SimulatedJob) -> bool:
-        return job.always_fails or self._rng.random() < job.kind.failure_share
+        return (
+            job.always_fails or self._run_rng.random() < job.kind.failure_share
+        )
 
     def _spans_racks(
         self, step: ttypes.Step, members: list[ttypes.RunStart]
@@ -520,7 +665,7 @@
             return
         self._stopping.add(run_id)
         self._stop_count += 1
-        stop_ms = self._rng.uniform(*STOP_SHARES) * self._site.stop_ms
+        stop_ms = self._run_rng.uniform(*STOP_SHARES) * self._site.stop_ms
         self._schedule(
             now_ms + ORDER_DELAY_MS + stop_ms + STOP_NOTICE_MS,
             self._stopped,
@@ -547,7 +692,7 @@
         self._lost_processor_s += (
             processors * (run_time_ms - saved_run_time_ms) / 1000
         )
-        checkpoint = f'{run.saved_ms:.0f}' if step.checkpointable else ''
+        checkpoint = f'{run.saved_ms:09.0f}' if step.checkpointable else ''
         self._end(now_ms, run, ttypes.EndKind.STOPPED, checkpoint)
 
     def _finish(self, now_ms: float, run_id: layout.RunId) -> None:
@@ -584,6 +729,8 @@
         counts: collections.Counter[str] = collections.Counter()
         in_time: collections.Counter[str] = collections.Counter()
         windows: dict[int, list[float]] = {}
+        customers: dict[str, list[float]] = {}
+        by_size: dict[str, list[tuple[float, float, float]]] = {}
         completion_times_ms = []
         for job in self._jobs.values():
             if job.cancelled or job.always_fails:
@@ -598,12 +745,32 @@
             window = windows.setdefault(number, [0.0, 0.0])
             window[0] += full_value
             window[1] += earned_value
-            last_ms = min(job.finished_ms, self._last_arrival_ms + SETTLE_MS)
+            customer = self._state.jobs[job.job.job_id].customer
+            total = customers.setdefault(customer, [0.0, 0.0])
+            total[0] += full_value
+            total[1] += earned_value
+            work = sum(job.work_ms) * job.job.steps[0].accelerators
+            by_size.setdefault(queue, []).append(
+                (work, full_value, earned_value)
+            )
+            last_ms = min(
+                job.finished_ms, self._last_arrival_ms + self._site.settle_ms
+            )
             completion_times_ms.append(last_ms - job.submitted_ms)
         shares = sorted(
             earned_value / full_value
             for full_value, earned_value in windows.values()
         )
+        customer_shares = sorted(
+            earned_value / full_value
+            for full_value, earned_value in customers.values()
+        )
+        tenth = max(len(customer_shares) // 10, 1)
+        largest = [
+            row
+            for rows in by_size.values()
+            for row in sorted(rows)[-max(len(rows) // 10, 1) :]
+        ]
         lost = self._lost_processor_s
         total = full_values.total()
         return Verdict(
@@ -614,6 +781,11 @@
             thrown_away=lost / (lost + self._finished_processor_s),
             price=lost * values.LOSS_PER_PROCESSOR_S / total,
             stops=self._stop_count,
+            preempted=self._preempted_count,
+            runs=self._run_count,
+            worst_customers=sum(customer_shares[:tenth]) / tenth,
+            largest_jobs=sum(row[2] for row in largest)
+            / sum(row[1] for row in largest),
         )
 
     def _value(self, job: _SimulatedJob) -> tuple[float, float]:
@@ -633,5 +805,5 @@
         if job.failed or completion_ms > values.LATE_FACTOR * objective_ms:
             return full_value, 0.0
         if completion_ms > objective_ms:
-            return full_value, values.VALUE_LATE[queue.priority] * size
+            return full_value, self._site.late_values[queue.priority] * size
         return full_value, full_value
--- a/banyantrack/testing/work_builders.py
+++ b/banyantrack/testing/work_builders.py
@@ -124,6 +124,11 @@
     target.apply(command, NOW_MS)
 
 
+def customer_key(customer: str) -> str:
+    """Returns the API key of a customer."""
+    return KEYS.get(customer, f'{customer}-key')
+
+
 def submit(
     target: state_module.WorkState,
     submitted: ttypes.TaskJob,
@@ -145,7 +150,7 @@
         job=submitted,
         host=HOST,
         path=f'/{name}/{submitted.job_id}',
-        key=KEYS[customer],
+        key=customer_key(customer),
     )
     return target.apply(ttypes.WorkCommand(submit=command), now_ms)
 
@@ -177,6 +182,19 @@
     )
 
 
+def make_planner(
+    target: state_module.WorkState, preemption_policy: str = 'least-loss'
+) -> planner_module.Planner:
+    """Returns a planner of a state."""
+    return planner_module.Planner(
+        target,
+        durations.LearnedDurations(),
+        remote_factor=3.0,
+        stop_ms=200,
+        preemption_policy=preemption_policy,
+    )
+
+
 def plan(
     target: state_module.WorkState,
     *,
@@ -187,6 +205,7 @@
     approvals: collections.abc.Mapping[layout.GroupKey, advice.Approvals]
     | None = None,
     unchecked: collections.abc.Container[str] = (),
+    planner: planner_module.Planner | None = None,
 ) -> planner_module.Plan:
     """Runs one round of the planner with all workers usable.
 
@@ -198,14 +217,9 @@
         penalties: Penalties by worker id; 0 for others.
         approvals: Approvals of the policy service by group.
         unchecked: Ids of workers that have not answered recently.
+        planner: The planner; None for a new one with the default settings.
     """
-    planner = planner_module.Planner(
-        target,
-        durations.LearnedDurations(),
-        remote_factor=3.0,
-        stop_ms=200,
-    )
-    return planner.plan(
+    return (planner or make_planner(target)).plan(
         fleet(
             target,
             stopping=stopping,
--- a/banyantrack/tests/test_work_session.py
+++ b/banyantrack/tests/test_work_session.py
@@ -76,7 +76,10 @@
             self.state,
             None,
             settings.ControlPlatformSettings(
-                remote_factor=3.0, stop_ms=200, upkeep_s=2.0
+                remote_factor=3.0,
+                stop_ms=200,
+                upkeep_s=2.0,
+                preemption='least-loss',
             ),
             None,
             metrics.Metrics(),
--- a/banyantrack/workload/planner.py
+++ b/banyantrack/workload/planner.py
@@ -17,6 +17,7 @@
 from banyantrack.workload import advice
 from banyantrack.workload import availability
 from banyantrack.workload import capacity
+from banyantrack.workload import contention  # noqa: F401
 from banyantrack.workload import headroom
 from banyantrack.workload import isolation as isolation_module
 from banyantrack.workload import layout
@@ -89,6 +90,7 @@
             by group.
         checks: Ids of the workers that must answer a check before tasks
             start there.
+        decisions: Decisions to stop or not to stop runs for a group.
     """
 
     starts: list[ttypes.RunStart] = dataclasses.field(default_factory=list)
@@ -101,6 +103,9 @@
         default_factory=dict
     )
     checks: set[str] = dataclasses.field(default_factory=set)
+    decisions: dict[layout.GroupKey, preemption.Decision] = dataclasses.field(
+        default_factory=dict
+    )
 
 
 class Planner:
@@ -113,6 +118,7 @@
             the data, or one rack for a gang) over the run time on them.
         stop_ms: Longest time that a worker takes to stop a run, in
             milliseconds.
+        preemption_policy: Name in `preemption.POLICIES`.
     """
 
     def __init__(
@@ -122,12 +128,16 @@
         *,
         remote_factor: float,
         stop_ms: int,
+        preemption_policy: str = 'least-loss',
     ) -> None:
         self._state = state
         self._durations = durations
         self._values = values_module.JobValues()
         self._remote_factor = remote_factor
         self._usual_stop_ms = USUAL_STOP_SHARE * stop_ms
+        self._preemption = preemption.POLICIES.get(preemption_policy)(
+            durations, self._values
+        )
 
     def plan(
         self,
@@ -165,6 +175,7 @@
             )
             for part in isolation_module.split_suspects(unit)
         ]
+        self._preemption.begin_round(fleet, units, now_ms)
         for unit in units:
             if isolation_module.may_wait(unit, now_ms):
                 _hold_for_suspects(fleet, unit, isolation)
@@ -399,35 +410,26 @@
             min(unit.latest_start_ms, unit.release_ms + PREEMPTION_DELAY_MS)
             - now_ms
         )
-        for scope in _preemption_scopes(unit, candidates):
-            options = [
-                preemption.plan_preemption(
-                    unit,
-                    workers,
-                    count,
-                    now_ms=now_ms,
-                    wait_ms=wait_ms,
-                    stopping=stopping,
-                    reserved=reserved,
-                )
-                for workers in scope
-            ]
-            complete = [
-                option for option in options if option.members == count
-            ]
-            if not complete and unit.step.gang:
-                continue
-            best = min(complete or options, key=lambda option: option.loss)
-            gain = unit.value - unit.value_if_late
-            # Capacity that is being freed without further stops is used also
-            # once the job is late.
-            if best.stops and best.loss > gain and not unit.guaranteed:
-                return False
-            best.reserve_for_tasks(capacity.resources_of(unit.step))
-            plan.stops.extend(best.stops)
-            plan.awaited |= best.awaited
-            return best.members == count
-        return False
+        best, decision = self._preemption.choose(
+            preemption.Request(
+                unit=unit,
+                count=count,
+                scopes=_preemption_scopes(unit, candidates),
+                now_ms=now_ms,
+                wait_ms=wait_ms,
+                stop_ms=self._usual_stop_ms,
+                stopping=stopping,
+                reserved=reserved,
+            )
+        )
+        if decision is not None:
+            plan.decisions[unit.key] = decision
+        if best is None:
+            return False
+        best.reserve_for_tasks(capacity.resources_of(unit.step))
+        plan.stops.extend(best.stops)
+        plan.awaited |= best.awaited
+        return best.members == count
 
 
 def _unchecked(
--- a/banyantrack/workload/preemption.py
+++ b/banyantrack/workload/preemption.py
@@ -10,6 +10,7 @@
 import dataclasses
 import typing
 
+from banyantrack.core import registry
 from banyantrack.workload import capacity
 from banyantrack.workload import layout
 from banyantrack.workload import values
@@ -18,6 +19,7 @@
     import collections.abc
 
     from banyantrack.workload import units as units_module
+    from banyantrack.workload import values as values_module
 
 # Processors that one accelerator counts as when lost work is valued.
 PROCESSORS_PER_ACCELERATOR = 8
@@ -70,6 +72,162 @@
             worker.reserve(need)
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Request:
+    """A unit that does not fit, and where capacity may be freed for it.
+
+    Attributes:
+        unit: The unit.
+        count: Number of its tasks that do not fit.
+        scopes: Scopes to search in turn, from preferred to all workers. Each
+            is a list of sets of workers; all tasks of a gang go to one set.
+        now_ms: Time of day, in milliseconds since 1970.
+        wait_ms: Longest wait for runs that end by themselves.
+        stop_ms: Usual time that a worker takes to stop a run.
+        stopping: Runs that are being stopped.
+        reserved: Runs whose capacity this round has reserved already.
+    """
+
+    unit: units_module.Unit
+    count: int
+    scopes: list[list[list[capacity.WorkerCapacity]]]
+    now_ms: int
+    wait_ms: float
+    stop_ms: float
+    stopping: collections.abc.Container[layout.RunId]
+    reserved: collections.abc.Container[layout.RunId]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Decision:
+    """Whether runs are stopped for a unit, with the inputs that decided.
+
+    Attributes:
+        job_id: The job of the unit.
+        guaranteed: Whether its customer's guarantee covers the job.
+        adopted: Whether the stops are carried out.
+        gain: Value of starting after the stops instead of waiting.
+        loss: Value that the stops cost.
+        discarded: Share of the loss that is the work of the stopped runs.
+        stops: Number of runs to stop.
+        waited_ms: Time for which the job has waited.
+    """
+
+    job_id: str
+    guaranteed: bool
+    adopted: bool
+    gain: float
+    loss: float
+    discarded: float
+    stops: int
+    waited_ms: float
+
+
+class Policy(typing.Protocol):
+    """Decides which runs are stopped for urgent units."""
+
+    def begin_round(
+        self,
+        fleet: capacity.Fleet,
+        units: collections.abc.Sequence[units_module.Unit],
+        now_ms: int,
+    ) -> None:
+        """Prepares the decisions of one round.
+
+        Args:
+            fleet: Workers and their capacity.
+            units: All units that are ready to start.
+            now_ms: Time of day, in milliseconds since 1970.
+        """
+
+    def choose(
+        self, request: Request
+    ) -> tuple[PreemptionPlan | None, Decision | None]:
+        """Returns the runs to stop or wait for; None to leave the unit.
+
+        Also returns the decision for the log, if stops were weighed.
+        """
+
+
+# Policies by the name in the setting `preemption`. Each is created with the
+# expected run times and the values of jobs.
+POLICIES: registry.Registry[
+    collections.abc.Callable[
+        [units_module.Durations, values_module.JobValues], Policy
+    ]
+] = registry.Registry('preemption policy')
+
+
+@POLICIES.register('least-loss')
+class LeastLoss:
+    """Stops the runs that lose the least work, if that is below the gain.
+
+    The gain is what the unit loses if it misses its latest start.
+
+    Args:
+        durations: Expected run times.
+        values: Values of jobs.
+    """
+
+    def __init__(
+        self,
+        durations: units_module.Durations,
+        values: values_module.JobValues,
+    ) -> None:
+        del durations, values
+
+    def begin_round(
+        self,
+        fleet: capacity.Fleet,
+        units: collections.abc.Sequence[units_module.Unit],
+        now_ms: int,
+    ) -> None:
+        """Does nothing; the decision depends only on the request."""
+
+    def choose(
+        self, request: Request
+    ) -> tuple[PreemptionPlan | None, Decision | None]:
+        """Returns the plan with the least loss of the first fitting scope."""
+        unit = request.unit
+        for scope in request.scopes:
+            options = [
+                plan_preemption(
+                    unit,
+                    workers,
+                    request.count,
+                    now_ms=request.now_ms,
+                    wait_ms=request.wait_ms,
+                    stopping=request.stopping,
+                    reserved=request.reserved,
+                )
+                for workers in scope
+            ]
+            complete = [
+                option for option in options if option.members == request.count
+            ]
+            if not complete and unit.step.gang:
+                continue
+            best = min(complete or options, key=lambda option: option.loss)
+            if not best.stops:
+                return best, None
+            gain = unit.value - unit.value_if_late
+            # Capacity that is being freed without further stops is used also
+            # once the job is late.
+            adopted = best.loss <= gain or unit.guaranteed
+            decision = Decision(
+                job_id=unit.key.job_id,
+                guaranteed=unit.guaranteed,
+                adopted=adopted,
+                gain=gain,
+                loss=best.loss,
+                discarded=best.loss,
+                stops=len(best.stops),
+                waited_ms=request.now_ms - unit.release_ms,
+            )
+            return (best if adopted else None), decision
+        return None, None
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class _Option:
     """Runs to stop so that one task fits on a worker.
@@ -117,7 +275,7 @@
     }
     by_worker_id = {worker.record.worker_id: worker for worker in candidates}
     counted: set[layout.RunId] = set()
-    awaited = _awaited(candidates, wait_ms, stopping, reserved)
+    awaited = ending_runs(candidates, wait_ms, stopping, reserved)
     for worker, runs in awaited.items():
         for run in runs:
             available[id(worker)].add(capacity.resources_of(run.step))
@@ -184,7 +342,7 @@
     return plan
 
 
-def _awaited(
+def ending_runs(
     candidates: collections.abc.Sequence[capacity.WorkerCapacity],
     wait_ms: float,
     stopping: collections.abc.Container[layout.RunId],
@@ -227,7 +385,7 @@
     ):
         if is_ending(layout.RunId(run.key, run.task.run)):
             continue
-        if not _may_preempt(run, unit):
+        if not may_preempt(run, unit):
             continue
         victims.append(run)
         free.add(capacity.resources_of(run.step))
@@ -255,7 +413,7 @@
     return kept
 
 
-def _may_preempt(run: capacity.RunAllocation, unit: units_module.Unit) -> bool:
+def may_preempt(run: capacity.RunAllocation, unit: units_module.Unit) -> bool:
     """Whether a run may be stopped for a unit.
 
     Runs of a lower priority may be, except that only a guaranteed unit may
--- a/benchmarks/jobs.py
+++ b/benchmarks/jobs.py
@@ -12,6 +12,7 @@
 import multiprocessing
 import statistics
 
+from banyantrack.testing import job_decisions
 from banyantrack.testing import job_model
 
 # Multiples of the usual load of a site.
@@ -20,10 +21,14 @@
 ARRIVALS_S = 40.0
 
 
-def _simulate(case: tuple[str, float, int]) -> job_model.Verdict:
-    site, load_factor, seed = case
+def _simulate(case: tuple[str, str, float, int]) -> job_model.Verdict:
+    site, decision, load_factor, seed = case
     simulation = job_model.Simulation(
-        job_model.SITES[site], seed, load=load_factor, length_s=ARRIVALS_S
+        job_model.SITES[site],
+        seed,
+        load=load_factor,
+        length_s=ARRIVALS_S,
+        decision=decision,
     )
     return simulation.run()
 
@@ -55,27 +60,43 @@
     parser.add_argument(
         '--sites', nargs='+', default=['exchange', 'franchise']
     )
+    parser.add_argument(
+        '--contended',
+        nargs='*',
+        default=['contended-small'],
+        help='sites on which all decisions are compared above capacity',
+    )
+    parser.add_argument(
+        '--decisions', nargs='+', default=list(job_decisions.DECISIONS)
+    )
     parser.add_argument('--seeds', type=int, default=12)
     parser.add_argument('--jobs', type=int, default=3)
     options = parser.parse_args(arguments)
     seeds = 4 if options.quick else options.seeds
-    cases = [
-        (site, load_factor, seed)
+    compared = [
+        (site, 'least-loss', load_factor)
         for site in options.sites
         for load_factor in LOAD_FACTORS
-        for seed in range(seeds)
     ]
+    compared += [
+        (site, decision, job_model.CONTENDED_LOAD)
+        for site in options.contended
+        for decision in options.decisions
+    ]
+    cases = [(*case, seed) for case in compared for seed in range(seeds)]
     with multiprocessing.Pool(options.jobs) as pool:
         verdicts = pool.map(_simulate, cases, chunksize=1)
     result = {}
-    for site in options.sites:
-        for load_factor in LOAD_FACTORS:
-            selected = [
-                verdict
-                for case, verdict in zip(cases, verdicts, strict=True)
-                if case[:2] == (site, load_factor)
-            ]
-            result[f'{site} x{load_factor}'] = _mean_figures(selected)
+    for site, decision, load_factor in compared:
+        selected = [
+            verdict
+            for case, verdict in zip(cases, verdicts, strict=True)
+            if case[:3] == (site, decision, load_factor)
+        ]
+        label = f'{site} x{load_factor}'
+        if site in options.contended:
+            label = f'{site} {decision}'
+        result[label] = _mean_figures(selected)
     for label, figures in result.items():
         print(label, figures)
     print(json.dumps(result))
--- a/schema/settings.thrift
+++ b/schema/settings.thrift
@@ -92,6 +92,8 @@
   12: optional double upkeep_s (default = "2", min = "0", max = "86400")
   // Longest time that a serving task may be over its target.
   13: optional i32 interference_ms (default = "4000", min = "100", max = "600000")
+  // How runs to stop for urgent tasks are chosen.
+  21: optional string preemption (default = "least-loss", choices = "least-loss,net-gain")
 }
 
 // The platform's interface of an entry.
