--- a/banyantrack/testing/work_builders.py
+++ b/banyantrack/testing/work_builders.py
@@ -124,6 +124,11 @@
     target.apply(command, NOW_MS)
 
 
+def customer_key(customer: str) -> str:
+    """Returns the API key of a customer."""
+    return KEYS.get(customer, f'{customer}-key')
+
+
 def submit(
     target: state_module.WorkState,
     submitted: ttypes.TaskJob,
@@ -145,7 +150,7 @@
         job=submitted,
         host=HOST,
         path=f'/{name}/{submitted.job_id}',
-        key=KEYS[customer],
+        key=customer_key(customer),
     )
     return target.apply(ttypes.WorkCommand(submit=command), now_ms)
 
@@ -193,6 +198,19 @@
     )
 
 
+def make_planner(
+    target: state_module.WorkState, preemption_policy: str = 'least-loss'
+) -> planner_module.Planner:
+    """Returns a planner of a state."""
+    return planner_module.Planner(
+        target,
+        durations.LearnedDurations(),
+        remote_factor=3.0,
+        stop_ms=200,
+        preemption_policy=preemption_policy,
+    )
+
+
 def plan(
     target: state_module.WorkState,
     *,
@@ -205,6 +223,7 @@
     unchecked: collections.abc.Container[str] = (),
     speeds: collections.abc.Mapping[str, float] | None = None,
     sure_speeds: collections.abc.Mapping[str, float] | None = None,
+    planner: planner_module.Planner | None = None,
 ) -> planner_module.Plan:
     """Runs one round of the planner with all workers usable.
 
@@ -218,14 +237,9 @@
         unchecked: Ids of workers that have not answered recently.
         speeds: Speeds by worker id; None if they are not used.
         sure_speeds: Speeds that are reached almost certainly, by worker id.
+        planner: The planner; None for a new one with the default settings.
     """
-    planner = planner_module.Planner(
-        target,
-        durations.LearnedDurations(),
-        remote_factor=3.0,
-        stop_ms=200,
-    )
-    return planner.plan(
+    return (planner or make_planner(target)).plan(
         fleet(
             target,
             stopping=stopping,
--- a/banyantrack/workload/planner.py
+++ b/banyantrack/workload/planner.py
@@ -18,6 +18,7 @@
 from banyantrack.workload import advice
 from banyantrack.workload import availability
 from banyantrack.workload import capacity
+from banyantrack.workload import contention  # noqa: F401
 from banyantrack.workload import headroom
 from banyantrack.workload import isolation as isolation_module
 from banyantrack.workload import layout
@@ -103,6 +104,7 @@
         units: All units of the round, in scheduling order.
         kept_free: Workers that are kept free for urgent units, by pool.
         isolation: Workers that are closed to other jobs.
+        decisions: Decisions to stop or not to stop runs for a group.
     """
 
     starts: list[ttypes.RunStart] = dataclasses.field(default_factory=list)
@@ -120,6 +122,9 @@
         default_factory=dict
     )
     isolation: isolation_module.Isolation | None = None
+    decisions: dict[layout.GroupKey, preemption.Decision] = dataclasses.field(
+        default_factory=dict
+    )
 
     def rejection(
         self, worker: capacity.WorkerCapacity, unit: units_module.Unit
@@ -144,6 +149,7 @@
             the data, or one rack for a gang) over the run time on them.
         stop_ms: Longest time that a worker takes to stop a run, in
             milliseconds.
+        preemption_policy: Name in `preemption.POLICIES`.
     """
 
     def __init__(
@@ -153,6 +159,7 @@
         *,
         remote_factor: float,
         stop_ms: int,
+        preemption_policy: str = 'least-loss',
     ) -> None:
         self._state = state
         self._durations = durations
@@ -160,6 +167,10 @@
         self._remote_factor = remote_factor
         self._usual_stop_ms = USUAL_STOP_SHARE * stop_ms
         self._usual_preemption_ms = PREEMPTION_DELAY_MS + self._usual_stop_ms
+        self._policy_name = preemption_policy
+        self._preemption = preemption.POLICIES.get(preemption_policy)(
+            durations, self._values
+        )
 
     def copy_for(
         self, state: state_module.WorkState, durations: units_module.Durations
@@ -172,6 +183,9 @@
         planner._state = state
         planner._durations = durations
         planner._values = copy.deepcopy(self._values)
+        planner._preemption = preemption.POLICIES.get(self._policy_name)(
+            durations, planner._values
+        )
         return planner
 
     def plan(
@@ -211,6 +225,7 @@
             for part in isolation_module.split_suspects(unit)
         ]
         plan.units = units
+        self._preemption.begin_round(fleet, units, now_ms)
         for unit in units:
             if isolation_module.may_wait(unit, now_ms):
                 _hold_for_suspects(fleet, unit, isolation)
@@ -538,35 +553,26 @@
             min(unit.latest_start_ms, unit.release_ms + PREEMPTION_DELAY_MS)
             - now_ms
         )
-        for scope in _preemption_scopes(unit, candidates):
-            options = [
-                preemption.plan_preemption(
-                    unit,
-                    workers,
-                    count,
-                    now_ms=now_ms,
-                    wait_ms=wait_ms,
-                    stopping=stopping,
-                    reserved=reserved,
-                )
-                for workers in scope
-            ]
-            complete = [
-                option for option in options if option.members == count
-            ]
-            if not complete and unit.step.gang:
-                continue
-            best = min(complete or options, key=lambda option: option.loss)
-            gain = unit.value - unit.value_if_late
-            # Capacity that is being freed without further stops is used also
-            # once the job is late.
-            if best.stops and best.loss > gain and not unit.guaranteed:
-                return False
-            best.reserve_for_tasks(capacity.resources_of(unit.step))
-            plan.stops.extend(best.stops)
-            plan.awaited |= best.awaited
-            return best.members == count
-        return False
+        best, decision = self._preemption.choose(
+            preemption.Request(
+                unit=unit,
+                count=count,
+                scopes=_preemption_scopes(unit, candidates),
+                now_ms=now_ms,
+                wait_ms=wait_ms,
+                stop_ms=self._usual_stop_ms,
+                stopping=stopping,
+                reserved=reserved,
+            )
+        )
+        if decision is not None:
+            plan.decisions[unit.key] = decision
+        if best is None:
+            return False
+        best.reserve_for_tasks(capacity.resources_of(unit.step))
+        plan.stops.extend(best.stops)
+        plan.awaited |= best.awaited
+        return best.members == count
 
 
 def _unchecked(
