Bound the work and the size of learned speeds

Cause: the update each second exchanged all messages of the last 30 s, and hosts of machines that had left were kept.

Change: an update exchanges at most 500 messages, oldest groups first, and works out the spread without exact fractions; hosts without an answer for five minutes are dropped.

--- a/banyantrack/tests/test_speeds.py
+++ b/banyantrack/tests/test_speeds.py
@@ -180,6 +180,24 @@
         self.assertAlmostEqual(before, after, 0)
         self.assertLess(sure_after, sure)
 
+    def test_host_that_is_gone_is_forgotten(self) -> None:
+        # Guards against a leader that grows with each machine that leaves,
+        # and against a lasting group that names such a machine.
+        speeds = speeds_module.WorkerSpeeds(1.5)
+        traffic = Traffic(speeds, SPEEDS)
+        traffic.run_rounds(2)
+        group = layout.GroupKey('f' * 16, 0, 0)
+        began_s = traffic.now_s
+        for second in range(0, 400, 10):
+            at_s = began_s + second
+            for worker in ('w0', 'w1') if second < 50 else ('w1',):
+                traffic.report(
+                    worker, group, 0, 5 + second / 5, at_s, began_s - 10
+                )
+            speeds.update(at_s)
+        self.assertEqual(1.0, speeds.speed('w0'))
+        self.assertEqual({'w1'}, set(speeds._hosts))
+
     def test_worker_that_becomes_slow_and_recovers(self) -> None:
         # A worker may become five times slower for some seconds.
         traffic = Traffic(speeds_module.WorkerSpeeds(1.5), SPEEDS)
--- a/banyantrack/workload/speeds.py
+++ b/banyantrack/workload/speeds.py
@@ -88,6 +88,11 @@
 SMOOTHING_WEIGHT = 0.05
 # Observations of groups without a report for this long are settled.
 GROUP_RETENTION_S = 30.0
+# Hosts without an answer for this long are forgotten.
+HOST_RETENTION_S = 300.0
+# Most messages that one update exchanges again; with 1,500 workers it then
+# takes about 5 ms.
+MAX_EXCHANGES = 500
 # Standard deviations below the estimate that count as almost certain.
 SURE_DEVIATIONS = 1.0
 _UNKNOWN_SURE_SPEED = math.exp(-SURE_DEVIATIONS * math.sqrt(PRIOR_VARIANCE))
@@ -448,33 +453,24 @@
             return False
         self._summary_at_s = now_s
         self._bounds.clear()
-        for key, group in list(self._groups.items()):
-            if now_s - group.seen_s > GROUP_RETENTION_S:
-                self._settle(key)
-                continue
-            # Hosts that have become known tell more of the shared error.
-            for worker, observation in group.observations.items():
-                self._exchange(
-                    worker,
-                    self._hosts[worker],
-                    group,
-                    observation,
-                    sampled=False,
-                )
+        self._drop_old(now_s)
+        self._refine()
+        # The mean and the variance of each known host.
         known = [
-            host
+            (host.weighted * variance, variance)
             for host in self._hosts.values()
-            if host.observed and host.variance < KNOWN_VARIANCE
+            if host.observed and (variance := host.variance) < KNOWN_VARIANCE
         ]
         self._known = len(known)
         if len(known) < MIN_KNOWN:
             self._spread = 1.0
         else:
-            means = sorted(host.mean for host in known)
+            means = sorted(mean for mean, _ in known)
             self._middle = statistics.median(means)
             tenth = (len(means) - 1) // 10
-            total = statistics.pvariance(means)
-            noise = statistics.fmean(host.variance for host in known)
+            center = sum(means) / len(means)
+            total = sum((mean - center) ** 2 for mean in means)
+            noise = sum(variance for _, variance in known)
             share = max(1 - noise / total, 0.0) if total > 0 else 0.0
             width = means[-1 - tenth] - means[tenth]
             self._spread = math.exp(width * math.sqrt(share))
@@ -568,6 +564,34 @@
             host.scale(MAX_WEIGHT / host.weight)
         self._bounds.pop(worker, None)
 
+    def _drop_old(self, now_s: float) -> None:
+        for key, group in list(self._groups.items()):
+            if now_s - group.seen_s > GROUP_RETENTION_S:
+                self._settle(key)
+        for name, host in list(self._hosts.items()):
+            if now_s - host.updated_s > HOST_RETENTION_S:
+                del self._hosts[name]
+                self._tracks.pop(name, None)
+
+    def _refine(self) -> None:
+        """Exchanges messages again, for the groups that waited longest.
+
+        Hosts that have become known tell more of the shared error.
+        """
+        exchanges = 0
+        for key in list(self._groups):
+            group = self._groups.pop(key)
+            self._groups[key] = group
+            for worker, observation in group.observations.items():
+                host = self._hosts.get(worker)
+                if host is not None:
+                    exchanges += 1
+                    self._exchange(
+                        worker, host, group, observation, sampled=False
+                    )
+            if exchanges >= MAX_EXCHANGES:
+                break
+
     def _learn_run_variance(self, variance: float, runs: int) -> None:
         weight = PAIR_WEIGHT * min(runs - 1, 4)
         # A straggler counts no more than the widest usual difference.
