Prefer fast workers for guaranteed jobs that no longer wait

Change: the limit of the wait is separate from the choice of workers.

Measured: the new test fails on the code before (it started on slow workers) and passes now.

--- a/banyantrack/tests/test_speeds.py
+++ b/banyantrack/tests/test_speeds.py
@@ -320,13 +320,13 @@
     def speeds_of(self, plan) -> list[float]:
         return sorted(SPEEDS[start.worker_id] for start in plan.starts)
 
-    def submit_urgent(self, count: int, accelerators: int = 8) -> None:
+    def submit_urgent(self, count: int, estimated_ms: int = 2100) -> None:
         step = builders.step(
             count=count,
-            accelerators=accelerators,
+            accelerators=8,
             gang=True,
             same_rack=True,
-            estimated_ms=2100,
+            estimated_ms=estimated_ms,
         )
         builders.submit(
             self.state, builders.job('a' * 16, step), name='urgent'
@@ -430,6 +430,17 @@
         )
         self.assertEqual(2, len(plan.starts))
 
+    def test_guaranteed_gang_that_no_longer_waits_prefers_fast_workers(self):
+        # Guards against a start on slow workers, on which it is late, while
+        # faster ones are free.
+        self.submit_urgent(2, estimated_ms=20_000)
+        plan = self.plan(
+            now_ms=builders.NOW_MS
+            + int(speed_placement.GUARANTEED_WAIT_MS)
+            + 100
+        )
+        self.assertEqual([1.0] * 2, self.speeds_of(plan))
+
     def test_unknown_workers_come_after_known_ones(self) -> None:
         # A worker of unknown speed is slow in one of three cases.
         self.submit_urgent(3)
--- a/banyantrack/workload/planner.py
+++ b/banyantrack/workload/planner.py
@@ -382,8 +382,13 @@
             return self._choose(
                 unit, candidates, need, now_ms, idle, by_speed=True
             )
-        if unit.priority == 0 and speed_placement.fast_enough(
-            unit, candidates, now_ms, self._usual_preemption_ms
+        may_wait = speed_placement.may_wait(unit, now_ms)
+        if (
+            may_wait
+            and unit.priority == 0
+            and speed_placement.fast_enough(
+                unit, candidates, now_ms, self._usual_preemption_ms
+            )
         ):
             return [] if unit.step.gang else chosen
         other = self._choose(
@@ -394,12 +399,12 @@
         slower = (
             other if unit.step.gang else [w for w in other if w not in fast]
         )
-        wait_ms = self._wait_ms(unit, fast, need, now_ms)
-        value = unit.value_after(
-            wait_ms + speed_placement.run_time_ms(unit, fast)
-        )
-        if value > unit.value_after(speed_placement.run_time_ms(unit, slower)):
-            return [] if unit.step.gang else chosen
+        if may_wait:
+            fast_end_ms = self._wait_ms(unit, fast, need, now_ms)
+            fast_end_ms += speed_placement.run_time_ms(unit, fast)
+            slower_ms = speed_placement.run_time_ms(unit, slower)
+            if unit.value_after(fast_end_ms) > unit.value_after(slower_ms):
+                return [] if unit.step.gang else chosen
         if unit.step.gang:
             return other
         return chosen + slower[: count - len(chosen)]
@@ -412,7 +417,7 @@
         now_ms: int,
     ) -> list[capacity.WorkerCapacity]:
         """Returns the workers on which a unit is in time after a stop."""
-        if not fleet.uses_speeds:
+        if not (fleet.uses_speeds and speed_placement.may_wait(unit, now_ms)):
             return candidates
         fast = speed_placement.fast_enough(
             unit, candidates, now_ms, self._usual_stop_ms
--- a/banyantrack/workload/speed_placement.py
+++ b/banyantrack/workload/speed_placement.py
@@ -94,14 +94,8 @@
 
     Returns:
         Those on which it almost certainly is, then all on which it probably
-        is; without empty sets. None if it would be late on each of them, or
-        if its customer's guarantee no longer lets it wait.
+        is. Empty if it would be late on each of them.
     """
-    if (
-        unit.guaranteed
-        and now_ms - unit.release_ms + delay_ms > GUARANTEED_WAIT_MS
-    ):
-        return []
     least = required_speed(unit, now_ms, delay_ms)
     probable = [worker for worker in candidates if worker.speed >= least]
     if not probable:
@@ -112,6 +106,13 @@
     return [sure, probable]
 
 
+def may_wait(unit: units_module.Unit, now_ms: int) -> bool:
+    """Whether a unit may wait for faster workers while others are free."""
+    return (
+        not unit.guaranteed or now_ms - unit.release_ms <= GUARANTEED_WAIT_MS
+    )
+
+
 def choose(
     candidates: list[capacity.WorkerCapacity],
     count: int,
