--- a/banyantrack/tests/test_speeds.py
+++ b/banyantrack/tests/test_speeds.py
@@ -180,6 +180,24 @@
         self.assertAlmostEqual(before, after, 0)
         self.assertLess(sure_after, sure)
 
+    def test_host_that_is_gone_is_forgotten(self) -> None:
+        # Guards against a leader that grows with each machine that leaves,
+        # and against a lasting group that names such a machine.
+        speeds = speeds_module.WorkerSpeeds(1.5)
+        traffic = Traffic(speeds, SPEEDS)
+        traffic.run_rounds(2)
+        group = layout.GroupKey('f' * 16, 0, 0)
+        began_s = traffic.now_s
+        for second in range(0, 400, 10):
+            at_s = began_s + second
+            for worker in ('w0', 'w1') if second < 50 else ('w1',):
+                traffic.report(
+                    worker, group, 0, 5 + second / 5, at_s, began_s - 10
+                )
+            speeds.update(at_s)
+        self.assertEqual(1.0, speeds.speed('w0'))
+        self.assertEqual({'w1'}, set(speeds._hosts))
+
     def test_worker_that_becomes_slow_and_recovers(self) -> None:
         # A worker may become five times slower for some seconds.
         traffic = Traffic(speeds_module.WorkerSpeeds(1.5), SPEEDS)
@@ -302,13 +320,13 @@
     def speeds_of(self, plan) -> list[float]:
         return sorted(SPEEDS[start.worker_id] for start in plan.starts)
 
-    def submit_urgent(self, count: int, accelerators: int = 8) -> None:
+    def submit_urgent(self, count: int, estimated_ms: int = 2100) -> None:
         step = builders.step(
             count=count,
-            accelerators=accelerators,
+            accelerators=8,
             gang=True,
             same_rack=True,
-            estimated_ms=2100,
+            estimated_ms=estimated_ms,
         )
         builders.submit(
             self.state, builders.job('a' * 16, step), name='urgent'
@@ -412,6 +430,17 @@
         )
         self.assertEqual(2, len(plan.starts))
 
+    def test_guaranteed_gang_that_no_longer_waits_prefers_fast_workers(self):
+        # Guards against a start on slow workers, on which it is late, while
+        # faster ones are free.
+        self.submit_urgent(2, estimated_ms=20_000)
+        plan = self.plan(
+            now_ms=builders.NOW_MS
+            + int(speed_placement.GUARANTEED_WAIT_MS)
+            + 100
+        )
+        self.assertEqual([1.0] * 2, self.speeds_of(plan))
+
     def test_unknown_workers_come_after_known_ones(self) -> None:
         # A worker of unknown speed is slow in one of three cases.
         self.submit_urgent(3)
