Evacuation: log the customers that an order affects

Cause: on the platform the response carries no list, so only the log can name the customers whose guarantees need the zone.

Change: `evacuation_ordered` has `affected`.

--- a/banyantrack/daemons/evacuation_orders.py
+++ b/banyantrack/daemons/evacuation_orders.py
@@ -11,6 +11,7 @@
 from banyantrack.generated.workload import ttypes
 from banyantrack.replication import errors as replication_errors
 from banyantrack.workload import evacuations
+from banyantrack.workload import guarantees
 
 if typing.TYPE_CHECKING:
     import collections.abc
@@ -126,6 +127,8 @@
             verdict=verdict.value,
             accepted_ms=evacuation.accepted_ms if evacuation else None,
             in_force=len(self._state.evacuations.in_force),
+            affected=','.join(guarantees.unproven_customers(self._state))
+            or None,
             workers=len(workers),
             runs=sum(
                 len(self._state.live_runs(w.worker_id, w.incarnation))
