--- a/banyantrack/daemons/report_spread.py
+++ b/banyantrack/daemons/report_spread.py
@@ -84,6 +84,8 @@
             known is None
             or not self._is_spread()
             or worker.state != ttypes.WorkerState.READY
+            # Only the leader keeps until when a worker is cold.
+            or report.cold_remaining_ms
             or not self._hears_leader()
         ):
             return False
--- a/banyantrack/tests/test_report_spread.py
+++ b/banyantrack/tests/test_report_spread.py
@@ -182,6 +182,14 @@
         self.worker.state = ttypes.WorkerState.DRAINING
         self.assertFalse(self.is_answered(_FakeReplica(leads=False)))
 
+    def test_cold_worker_is_forwarded(self) -> None:
+        """Only the leader keeps until when a worker is cold."""
+        report = self._report()
+        spread = self.spread(_FakeReplica(leads=False))
+        self.assertTrue(spread.is_known(report))
+        report.cold_remaining_ms = 500
+        self.assertFalse(spread.is_known(report))
+
     def test_member_that_the_leader_does_not_contact_answers_nothing(
         self,
     ) -> None:
