--- a/banyantrack/daemons/work_session.py
+++ b/banyantrack/daemons/work_session.py
@@ -183,7 +183,7 @@
             self._durations,
             remote_factor=options.remote_factor,
             stop_ms=options.stop_ms,
-            preemption_policy=options.preemption,
+            preemption_policy=options.preemption or 'least-loss',
         )
         self._speeds = speeds_module.WorkerSpeeds(
             options.speed_spread_min or 0.0
