Cost of ends of repeated jobs

Cause: each end of a repeated job looked at the tasks of all occurrences. Change: active runs are accounted for in jobs without repetition only.

--- a/banyantrack/workload/run_times.py
+++ b/banyantrack/workload/run_times.py
@@ -460,7 +460,8 @@
     middle = (len(values) - 1) // 2
     at = values[middle]
     longer = len(values) - middle - 1
-    if now_ms is not None and not runs.step.gang:
+    is_repeated = layout.occurrences(record.job) > 1
+    if now_ms is not None and not runs.step.gang and not is_repeated:
         longer += _active_beyond(record, runs, now_ms - math.exp(at))
     rank = (middle + 0.6) / (middle + 1 + longer + 0.2)
     z = _NORMAL.inv_cdf(rank)
@@ -481,17 +482,13 @@
     record: ttypes.JobRecord, runs: _StepRuns, started_before_ms: float
 ) -> int:
     """Returns the number of active runs that started before a time."""
-    count = 0
-    for occurrence in range(layout.occurrences(record.job)):
-        for task in layout.group_tasks(record, occurrence, runs.number):
-            if (
-                task.worker_id
-                and not task.done
-                and task.started_ms < started_before_ms
-                and not task.checkpoint
-            ):
-                count += 1
-    return count
+    return sum(
+        bool(task.worker_id)
+        and not task.done
+        and task.started_ms < started_before_ms
+        and not task.checkpoint
+        for task in layout.group_tasks(record, 0, runs.number)
+    )
 
 
 def _declared_log(step: ttypes.Step) -> float | None:
