Forecasts from the progress of active tasks of the same job

Cause: the waiting tasks of a job were forecast from its estimate until the first task had ended. Change: active tasks of a job count with the run time that their progress shows, from 10 % on, for the forecasts of their own job. Measured: with 16 of 30 tasks at 20 % after 1 s, tasks declared at 2 s are forecast at 5 s within 0.3 s (test_progress_of_the_same_job).

--- a/banyantrack/daemons/run_forecasts.py
+++ b/banyantrack/daemons/run_forecasts.py
@@ -25,6 +25,8 @@
 # Ends that are recorded only once the lease of the worker has run out.
 _LAPSED = frozenset((ttypes.EndKind.LAPSED, ttypes.EndKind.LOST))
 P90 = 0.9
+# Progress is reported in whole percents, and is used from this value on.
+MIN_PROGRESS_PERCENT = 10
 # Shortest time between two replicated summaries.
 SUMMARY_INTERVAL_S = 10.0
 
@@ -121,6 +123,44 @@
             return {}
         return {'expected_ms': run.expected_ms, 'p90_ms': run.p90_ms}
 
+    def on_progress(
+        self,
+        record: ttypes.JobRecord,
+        run_id: layout.RunId,
+        percent: int,
+        now_ms: float,
+    ) -> None:
+        """Learns from the progress of a run for the tasks of its job.
+
+        Args:
+            record: The record of the job.
+            run_id: The run.
+            percent: Its progress since its start.
+            now_ms: Time of day, in milliseconds since 1970.
+        """
+        key = run_id.task
+        task = layout.find_task(record, key)
+        if task is None or task.run != run_id.run or task.checkpoint:
+            return
+        step = record.job.steps[key.step]
+        if (
+            not MIN_PROGRESS_PERCENT <= percent < 100
+            or step.count < 2
+            or step.gang
+            or step.long_running
+            or step.fills
+            or layout.occurrences(record.job) > 1
+        ):
+            return
+        placed = self._placed.get(key)
+        if placed is None or placed.run != task.run:
+            placed = self._note(record, key)
+            if placed is None:
+                return
+        ran_ms = max(now_ms - task.started_ms, 1.0)
+        total_ms = ran_ms * 100 / percent / self._slowness(placed)
+        self._model.observe_progress(record, step, key.index, total_ms, now_ms)
+
     def remaining_ms(
         self, run: capacity.RunAllocation, now_ms: float
     ) -> float | None:
@@ -168,6 +208,7 @@
         ):
             return {}
         speed = 1 / self._slowness(placed)
+        self._model.observe_progress(record, step, key.index, None, now_ms)
         if end.kind == ttypes.EndKind.DONE:
             self._model.observe(
                 record, step, ran_ms, speed, placed.resumed, now_ms
--- a/banyantrack/daemons/work_session.py
+++ b/banyantrack/daemons/work_session.py
@@ -412,6 +412,13 @@
             if running.checkpoint:
                 self._checkpoints[running.key] = running.checkpoint
             record = self._state.jobs.get(running.key.job_id)
+            if record is not None and self._forecasts is not None:
+                self._forecasts.on_progress(
+                    record,
+                    layout.RunId(running.key, running.run),
+                    running.percent,
+                    clock.now_ms(),
+                )
             if record is None or running.usage is None:
                 continue
             step = record.job.steps[running.key.step]
--- a/banyantrack/tests/test_run_times.py
+++ b/banyantrack/tests/test_run_times.py
@@ -499,6 +499,45 @@
         self.assertAlmostEqual(3150, remaining_ms, delta=200)
         self.assertIsInstance(run, capacity.RunAllocation)
 
+    def test_progress_of_the_same_job(self) -> None:
+        # Guards against waiting tasks that are forecast by a wrong estimate
+        # although active ones show that they take longer.
+        job, starts = self.start(builders.step(count=30, estimated_ms=2000))
+        self.assertEqual(16, len(starts))
+        for start in starts:
+            key = layout.task_id(start.task)
+            self.forecasts.placed(job, key)
+            self.forecasts.on_progress(
+                job, layout.RunId(key, 1), 20, builders.NOW_MS + 1000
+            )
+        forecast = self.model.forecast(job, job.job.steps[0])
+        self.assertAlmostEqual(5000, forecast.median_ms, delta=300)
+        self.end(job, starts[0], End.DONE, 5000)
+        self.assertAlmostEqual(
+            5000,
+            self.model.forecast(job, job.job.steps[0]).median_ms,
+            delta=300,
+        )
+        self.assertEqual(0, len(self.model._queues['usual'].customers))
+
+    def test_progress_that_tells_nothing(self) -> None:
+        # Guards against a division by zero and against run times from early
+        # or invalid progress.
+        job, starts = self.start(builders.step(count=2, estimated_ms=2000))
+        key = layout.task_id(starts[0].task)
+        before = self.model.forecast(job, job.job.steps[0])
+        for percent in (-5, 0, 1, 100, 2**31):
+            self.forecasts.on_progress(
+                job, layout.RunId(key, 1), percent, builders.NOW_MS
+            )
+        for other in (
+            layout.RunId(key, 7),
+            layout.RunId(layout.TaskId('a', 0, 9, 0), 1),
+            layout.RunId(layout.TaskId('a', -1, 0, 99), 1),
+        ):
+            self.forecasts.on_progress(job, other, 50, builders.NOW_MS + 1000)
+        self.assertIs(before, self.model.forecast(job, job.job.steps[0]))
+
     def test_resumed(self) -> None:
         # Guards against resumed runs that count as short ones.
         job, starts = self.start(builders.step(checkpointable=True))
--- a/banyantrack/workload/run_times.py
+++ b/banyantrack/workload/run_times.py
@@ -34,6 +34,8 @@
 
 # Ends of one job that are kept; the others add nothing to its forecast.
 JOB_RUNS_LIMIT = 64
+# Least change of the logarithm of a projected run time.
+PROJECTION_TOLERANCE = 0.05
 # Jobs whose ends are kept, the latest ones.
 JOBS_LIMIT = 2000
 # Entries of one replicated change, about 10 KB.
@@ -51,6 +53,8 @@
         step: The step. Holding it keeps its id from being used again.
         number: Number of the step in its job.
         finished: Logarithms of run times of finished runs.
+        projected: Logarithms of run times of active runs as their progress
+            shows, by index of the task.
         ends: Number of ended runs since the step was last learned from.
         learned: Whether the queue has learned from the step.
         level: Estimated median of the tasks, as a logarithm; None if unknown.
@@ -63,6 +67,7 @@
     step: ttypes.Step
     number: int
     finished: list[float] = dataclasses.field(default_factory=list)
+    projected: dict[int, float] = dataclasses.field(default_factory=dict)
     ends: int = 0
     learned: bool = False
     level: float | None = None
@@ -192,6 +197,39 @@
             runs.learned = False
             runs.finished = runs.finished[len(runs.finished) // 2 :][:1]
 
+    def observe_progress(
+        self,
+        record: ttypes.JobRecord,
+        step: ttypes.Step,
+        index: int,
+        total_ms: float | None,
+        now_ms: float,
+    ) -> None:
+        """Learns from the progress of an active run for its own job only.
+
+        Args:
+            record: The record of the job, which is not repeated.
+            step: The step of the task, not a gang.
+            index: Index of the task.
+            total_ms: Run time at speed 1.0 that its progress shows, in
+                milliseconds; None once the run has ended.
+            now_ms: Time of day, in milliseconds since 1970.
+        """
+        job = self._jobs.get(record.job.job_id) or self._new_job(record)
+        runs = job.steps.get(id(step)) or _new_step(job, record, step)
+        known = runs.projected.get(index)
+        if total_ms is None:
+            runs.projected.pop(index, None)
+            return
+        log_ms = math.log(distribution.bounded(total_ms))
+        if known is not None and abs(log_ms - known) < PROJECTION_TOLERANCE:
+            return
+        if known is None and len(runs.projected) >= JOB_RUNS_LIMIT:
+            return
+        runs.projected[index] = log_ms
+        _estimate_level(record, job.queue, runs, now_ms)
+        job.changes += 1
+
     def for_dry_run(self) -> RunTimes:
         """Returns a model whose forecasts change nothing of this one."""
         model = RunTimes()
@@ -456,7 +494,7 @@
     median of the ended runs among all runs that have lasted at least so long
     gives its quantile.
     """
-    values = runs.finished
+    values = sorted([*runs.finished, *runs.projected.values()])
     middle = (len(values) - 1) // 2
     at = values[middle]
     longer = len(values) - middle - 1
@@ -481,13 +519,18 @@
 def _active_beyond(
     record: ttypes.JobRecord, runs: _StepRuns, started_before_ms: float
 ) -> int:
-    """Returns the number of active runs that started before a time."""
+    """Returns the number of active runs that started before a time.
+
+    Those whose progress is known are left out.
+    """
+    tasks = layout.group_tasks(record, 0, runs.number)
     return sum(
         bool(task.worker_id)
         and not task.done
         and task.started_ms < started_before_ms
         and not task.checkpoint
-        for task in layout.group_tasks(record, 0, runs.number)
+        and index not in runs.projected
+        for index, task in enumerate(tasks)
     )
 
 
