--- a/banyantrack/workload/contention.py
+++ b/banyantrack/workload/contention.py
@@ -33,7 +33,8 @@
 FINISH_WAIT_MS = 1000
 # Least gain of stops as a multiple of their loss. With 1.0 the small contended
 # site lost 0.034 of its value in stopped runs, with 2.0 0.019, at the same
-# share of value earned (24 seeds).
+# share of value earned (24 seeds of 15 s). Under overload of 40 s less is
+# earned than with `least-loss`; see docs/design/0013-demand-above-capacity.md.
 MIN_GAIN_RATIO = 2.0
 # Multiples of the expected run time at which the value of a start is averaged,
 # since estimates of urgent tasks are wrong by about this much.
