--- a/banyantrack/tests/test_dry_run.py
+++ b/banyantrack/tests/test_dry_run.py
@@ -230,7 +230,7 @@
         # Guards against a route that is not served.
         replica = mock.Mock()
         replica.read_barrier = mock.AsyncMock()
-        api = operator_api.OperatorApi(replica, None, None, None)
+        api = operator_api.OperatorApi(replica, None, None, None, None, None)
         self.assertEqual(404, self.answer(api).status)
         api.dry_run = lambda body: dry_run_api.explain(
             self.session, self.state, body
