Remove the preemption policy net-gain

Cause: customers got less with it.

Change: the policy, its setting and its tests are removed; the load in the model, first fit and earliest deadline first as comparison, the log line and the counters stay.

Tests: contended site, planner, settings, session pass.

--- a/banyantrack/daemons/work_session.py
+++ b/banyantrack/daemons/work_session.py
@@ -183,7 +183,6 @@
             self._durations,
             remote_factor=options.remote_factor,
             stop_ms=options.stop_ms,
-            preemption_policy=options.preemption or 'least-loss',
         )
         self._speeds = speeds_module.WorkerSpeeds(
             options.speed_spread_min or 0.0
@@ -1161,10 +1160,8 @@
                 occurrence=group.occurrence,
                 step=group.step,
                 outcome=outcome,
-                policy=self._options.preemption,
                 gain=round(decision.gain, 3),
                 loss=round(decision.loss, 3),
-                discarded=round(decision.discarded, 3),
                 stops=decision.stops,
                 waited_ms=round(decision.waited_ms),
                 guaranteed=decision.guaranteed,
--- a/banyantrack/testing/job_decisions.py
+++ b/banyantrack/testing/job_decisions.py
@@ -8,7 +8,6 @@
 from __future__ import annotations
 
 import collections
-import functools
 import typing
 
 from banyantrack.core import registry
@@ -16,7 +15,6 @@
 from banyantrack.workload import capacity
 from banyantrack.workload import layout
 from banyantrack.workload import planner as planner_module
-from banyantrack.workload import preemption
 from banyantrack.workload import units as units_module
 from banyantrack.workload import values as values_module
 
@@ -28,10 +26,7 @@
 # Planners by the name of their decision.
 DECISIONS: registry.Registry[typing.Any] = registry.Registry('decision')
 
-for _name in preemption.POLICIES:
-    DECISIONS.register(_name)(
-        functools.partial(planner_module.Planner, preemption_policy=_name)
-    )
+DECISIONS.register('least-loss')(planner_module.Planner)
 
 
 class _ListPlanner:
--- a/banyantrack/testing/work_builders.py
+++ b/banyantrack/testing/work_builders.py
@@ -199,7 +199,7 @@
 
 
 def make_planner(
-    target: state_module.WorkState, preemption_policy: str = 'least-loss'
+    target: state_module.WorkState,
 ) -> planner_module.Planner:
     """Returns a planner of a state."""
     return planner_module.Planner(
@@ -207,7 +207,6 @@
         durations.LearnedDurations(),
         remote_factor=3.0,
         stop_ms=200,
-        preemption_policy=preemption_policy,
     )
 
 
--- a/banyantrack/testing/work_simulation.py
+++ b/banyantrack/testing/work_simulation.py
@@ -59,7 +59,6 @@
     stop_ms=400,
     gang_ms=1500,
     remote_factor=3.0,
-    preemption='least-loss',
     upkeep_s=2.0,
 )
 
--- a/banyantrack/tests/test_work_session.py
+++ b/banyantrack/tests/test_work_session.py
@@ -79,7 +79,6 @@
                 remote_factor=3.0,
                 stop_ms=200,
                 upkeep_s=2.0,
-                preemption='least-loss',
             ),
             None,
             metrics.Metrics(),
--- a/banyantrack/workload/planner.py
+++ b/banyantrack/workload/planner.py
@@ -18,7 +18,6 @@
 from banyantrack.workload import advice
 from banyantrack.workload import availability
 from banyantrack.workload import capacity
-from banyantrack.workload import contention  # noqa: F401
 from banyantrack.workload import headroom
 from banyantrack.workload import isolation as isolation_module
 from banyantrack.workload import layout
@@ -149,7 +148,6 @@
             the data, or one rack for a gang) over the run time on them.
         stop_ms: Longest time that a worker takes to stop a run, in
             milliseconds.
-        preemption_policy: Name in `preemption.POLICIES`.
     """
 
     def __init__(
@@ -159,7 +157,6 @@
         *,
         remote_factor: float,
         stop_ms: int,
-        preemption_policy: str = 'least-loss',
     ) -> None:
         self._state = state
         self._durations = durations
@@ -167,10 +164,6 @@
         self._remote_factor = remote_factor
         self._usual_stop_ms = USUAL_STOP_SHARE * stop_ms
         self._usual_preemption_ms = PREEMPTION_DELAY_MS + self._usual_stop_ms
-        self._policy_name = preemption_policy
-        self._preemption = preemption.POLICIES.get(preemption_policy)(
-            durations, self._values
-        )
 
     def copy_for(
         self, state: state_module.WorkState, durations: units_module.Durations
@@ -183,9 +176,6 @@
         planner._state = state
         planner._durations = durations
         planner._values = copy.deepcopy(self._values)
-        planner._preemption = preemption.POLICIES.get(self._policy_name)(
-            durations, planner._values
-        )
         return planner
 
     def plan(
@@ -225,7 +215,6 @@
             for part in isolation_module.split_suspects(unit)
         ]
         plan.units = units
-        self._preemption.begin_round(fleet, units, now_ms)
         for unit in units:
             if isolation_module.may_wait(unit, now_ms):
                 _hold_for_suspects(fleet, unit, isolation)
@@ -558,14 +547,13 @@
             min(unit.latest_start_ms, unit.release_ms + PREEMPTION_DELAY_MS)
             - now_ms
         )
-        best, decision = self._preemption.choose(
+        best, decision = preemption.choose(
             preemption.Request(
                 unit=unit,
                 count=count,
                 scopes=_preemption_scopes(unit, candidates),
                 now_ms=now_ms,
                 wait_ms=wait_ms,
-                stop_ms=self._usual_stop_ms,
                 stopping=stopping,
                 reserved=reserved,
             )
--- a/banyantrack/workload/preemption.py
+++ b/banyantrack/workload/preemption.py
@@ -10,7 +10,6 @@
 import dataclasses
 import typing
 
-from banyantrack.core import registry
 from banyantrack.workload import capacity
 from banyantrack.workload import layout
 from banyantrack.workload import values
@@ -19,7 +18,6 @@
     import collections.abc
 
     from banyantrack.workload import units as units_module
-    from banyantrack.workload import values as values_module
 
 # Processors that one accelerator counts as when lost work is valued.
 PROCESSORS_PER_ACCELERATOR = 8
@@ -83,7 +81,6 @@
             is a list of sets of workers; all tasks of a gang go to one set.
         now_ms: Time of day, in milliseconds since 1970.
         wait_ms: Longest wait for runs that end by themselves.
-        stop_ms: Usual time that a worker takes to stop a run.
         stopping: Runs that are being stopped.
         reserved: Runs whose capacity this round has reserved already.
     """
@@ -93,7 +90,6 @@
     scopes: list[list[list[capacity.WorkerCapacity]]]
     now_ms: int
     wait_ms: float
-    stop_ms: float
     stopping: collections.abc.Container[layout.RunId]
     reserved: collections.abc.Container[layout.RunId]
 
@@ -108,7 +104,6 @@
         adopted: Whether the stops are carried out.
         gain: Value of starting after the stops instead of waiting.
         loss: Value that the stops cost.
-        discarded: Share of the loss that is the work of the stopped runs.
         stops: Number of runs to stop.
         waited_ms: Time for which the job has waited.
     """
@@ -118,114 +113,60 @@
     adopted: bool
     gain: float
     loss: float
-    discarded: float
     stops: int
     waited_ms: float
 
 
-class Policy(typing.Protocol):
-    """Decides which runs are stopped for urgent units."""
+def choose(
+    request: Request,
+) -> tuple[PreemptionPlan | None, Decision | None]:
+    """Decides which runs are stopped or awaited for a unit.
 
-    def begin_round(
-        self,
-        fleet: capacity.Fleet,
-        units: collections.abc.Sequence[units_module.Unit],
-        now_ms: int,
-    ) -> None:
-        """Prepares the decisions of one round.
+    Takes the plan with the least loss of the first scope that has room, if
+    that loss is at most the gain: what the unit loses if it misses its latest
+    start.
 
-        Args:
-            fleet: Workers and their capacity.
-            units: All units that are ready to start.
-            now_ms: Time of day, in milliseconds since 1970.
-        """
-
-    def choose(
-        self, request: Request
-    ) -> tuple[PreemptionPlan | None, Decision | None]:
-        """Returns the runs to stop or wait for; None to leave the unit.
-
-        Also returns the decision for the log, if stops were weighed.
-        """
-
-
-# Policies by the name in the setting `preemption`. Each is created with the
-# expected run times and the values of jobs.
-POLICIES: registry.Registry[
-    collections.abc.Callable[
-        [units_module.Durations, values_module.JobValues], Policy
-    ]
-] = registry.Registry('preemption policy')
-
-
-@POLICIES.register('least-loss')
-class LeastLoss:
-    """Stops the runs that lose the least work, if that is below the gain.
-
-    The gain is what the unit loses if it misses its latest start.
-
-    Args:
-        durations: Expected run times.
-        values: Values of jobs.
+    Returns:
+        The plan; None to leave the unit. And the decision for the log, if
+        stops were weighed.
     """
-
-    def __init__(
-        self,
-        durations: units_module.Durations,
-        values: values_module.JobValues,
-    ) -> None:
-        del durations, values
-
-    def begin_round(
-        self,
-        fleet: capacity.Fleet,
-        units: collections.abc.Sequence[units_module.Unit],
-        now_ms: int,
-    ) -> None:
-        """Does nothing; the decision depends only on the request."""
-
-    def choose(
-        self, request: Request
-    ) -> tuple[PreemptionPlan | None, Decision | None]:
-        """Returns the plan with the least loss of the first fitting scope."""
-        unit = request.unit
-        for scope in request.scopes:
-            options = [
-                plan_preemption(
-                    unit,
-                    workers,
-                    request.count,
-                    now_ms=request.now_ms,
-                    wait_ms=request.wait_ms,
-                    stopping=request.stopping,
-                    reserved=request.reserved,
-                )
-                for workers in scope
-            ]
-            complete = [
-                option for option in options if option.members == request.count
-            ]
-            if not complete and unit.step.gang:
-                continue
-            best = min(complete or options, key=lambda option: option.loss)
-            if not best.stops:
-                return best, None
-            gain = unit.value - unit.value_if_late
-            # Capacity that is being freed without further stops is used also
-            # once the job is late.
-            adopted = best.loss <= gain or unit.guaranteed
-            decision = Decision(
-                job_id=unit.key.job_id,
-                guaranteed=unit.guaranteed,
-                adopted=adopted,
-                gain=gain,
-                loss=best.loss,
-                discarded=best.loss,
-                stops=len(best.stops),
-                waited_ms=request.now_ms - unit.release_ms,
+    unit = request.unit
+    for scope in request.scopes:
+        options = [
+            plan_preemption(
+                unit,
+                workers,
+                request.count,
+                now_ms=request.now_ms,
+                wait_ms=request.wait_ms,
+                stopping=request.stopping,
+                reserved=request.reserved,
             )
-            return (best if adopted else None), decision
-        return None, None
+            for workers in scope
+        ]
+        complete = [
+            option for option in options if option.members == request.count
+        ]
+        if not complete and unit.step.gang:
+            continue
+        best = min(complete or options, key=lambda option: option.loss)
+        if not best.stops:
+            return best, None
+        gain = unit.value - unit.value_if_late
+        # Capacity that is being freed without further stops is used also
+        # once the job is late.
+        adopted = best.loss <= gain or unit.guaranteed
+        decision = Decision(
+            job_id=unit.key.job_id,
+            guaranteed=unit.guaranteed,
+            adopted=adopted,
+            gain=gain,
+            loss=best.loss,
+            stops=len(best.stops),
+            waited_ms=request.now_ms - unit.release_ms,
+        )
+        return (best if adopted else None), decision
+    return None, None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/schema/settings.thrift
+++ b/schema/settings.thrift
@@ -110,8 +110,6 @@
   // Forecasts of run times: a single expected time for each queue, or a
   // distribution that is learned from ended runs.
   19: optional string run_time_forecasts (default = "off", choices = "off,learned")
-  // How runs to stop for urgent tasks are chosen.
-  21: optional string preemption (default = "least-loss", choices = "least-loss,net-gain")
 }
 
 // The platform's interface of an entry.
