--- a/Makefile
+++ b/Makefile
@@ -15,7 +15,8 @@
 JOBS ?= 3
 WHY ?= regression run
 FULL_SITES := large/colx-banyan-large further/sava-madraci \
-	further-grown/sava-madraci-grown
+	further-grown/sava-madraci-grown shifted/colx-banyan-now-grown \
+	demands/clausula-viva-grown demands/harthy-ledger-grown
 QUICK_SITES := grown/colx-banyan-grown grown/tsagaan-uul-grown \
 	sites/colx-banyan sites/tsagaan-uul
 
