--- a/banyantrack/tests/test_settings.py
+++ b/banyantrack/tests/test_settings.py
@@ -51,6 +51,8 @@
         self.assertEqual('c1', loaded.name)
         self.assertEqual('!down', loaded.placement.default_selector)
         self.assertTrue(loaded.replication.group_commit)
+        self.assertEqual(0, loaded.limits.memory_mb)
+        self.assertEqual(200, loaded.limits.file_descriptors)
 
     def test_examples_are_valid(self) -> None:
         settings.load_control(ROOT / 'examples' / 'control.yaml')
@@ -78,6 +80,13 @@
             places,
         )  # fmt: skip
 
+    def test_limits_out_of_range(self) -> None:
+        found = self._findings(
+            VALID_CONTROL
+            + 'limits: {memory_mb: -1, source_share: 2, idle_timeout_ms: 0}\n'
+        )
+        self.assertEqual(3, len(found), found)
+
     def test_invalid_yaml_has_a_location(self) -> None:
         found = self._findings('name: [a\nb: c\n')
         self.assertTrue(found[0].startswith('2:2: not valid YAML'), found)
--- a/schema/settings.thrift
+++ b/schema/settings.thrift
@@ -108,6 +108,35 @@
   5: optional i32 stop_grace_ms (default = "4500", min = "0", max = "600000")
 }
 
+// Limits that keep clients from exhausting the process's memory, descriptors
+// and processor time.
+struct LimitSettings {
+  // Memory of the host in MB, which the limits of buffered bytes and of
+  // connections follow; 0 if it is not known.
+  1: optional i32 memory_mb (default = "0", min = "0", max = "16777216")
+  // Descriptors of the process; 0 takes the limit of the operating system.
+  2: optional i32 descriptors (default = "0", min = "0", max = "16777216")
+  // Descriptors that are kept free for files.
+  3: optional i32 file_descriptors (default = "200", min = "0", max = "1000000")
+  // Bytes that requests may hold in memory together; 0 takes a part of
+  // memory_mb, or 128 MiB if that is 0.
+  4: optional i64 buffered_bytes (default = "0", min = "0", max = "1099511627776")
+  // Share of the buffered bytes that the requests of one address may hold.
+  5: optional double source_share (default = "0.75", min = "0.01", max = "1")
+  // Longest time from the first byte of a request's head to its last one.
+  6: optional i32 head_timeout_ms (default = "15000", min = "100", max = "600000")
+  // Longest time from a request's head to the last byte of its body.
+  7: optional i32 body_timeout_ms (default = "120000", min = "100", max = "3600000")
+  // Longest time for a client to read one part of a response.
+  8: optional i32 send_timeout_ms (default = "60000", min = "100", max = "3600000")
+  // Longest idle time of a client's connection.
+  9: optional i32 idle_timeout_ms (default = "300000", min = "100", max = "3600000")
+  // Chunks of a body after which their mean size is checked.
+  10: optional i32 unchecked_chunks (default = "1024", min = "1", max = "1000000")
+  // Least mean size of a body's chunks.
+  11: optional i32 mean_chunk_bytes (default = "64", min = "0", max = "65536")
+}
+
 // Settings of banyan-control.
 struct ControlSettings {
   // Name of this member, one of `members` unless it joins later.
@@ -132,6 +161,8 @@
   10: optional list<Token> tokens
   // The platform's interface; none is served if this is left out.
   11: optional ControlPlatformSettings platform (absent = "none")
+  // Limits of what clients may use.
+  12: optional LimitSettings limits
 }
 
 // Limits of requests.
@@ -193,6 +224,8 @@
   10: optional list<Token> tokens
   // The platform's interface; the entry then takes jobs in its form only.
   11: optional EntryPlatformSettings platform (absent = "none")
+  // Limits of what clients may use.
+  12: optional LimitSettings limits
 }
 
 // One service-level objective.
--- a/tools/settings_page.py
+++ b/tools/settings_page.py
@@ -16,6 +16,7 @@
     ('ReplicationSettings', 'replication'),
     ('PlacementSettings', 'placement'),
     ('DispatchSettings', 'dispatch'),
+    ('LimitSettings', 'limits'),
     ('LoggingSettings', 'logging'),
     ('ControlMember', 'members'),
     ('Token', 'tokens'),
