--- a/review/lib2/harness.py
+++ b/review/lib2/harness.py
@@ -229,6 +229,11 @@
             return NOT_RUN
     finally:
         _note_ends(record)
+        if 'KEEP_LOGS' in os.environ:
+            kept = pathlib.Path(os.environ['KEEP_LOGS'])
+            kept.mkdir(parents=True, exist_ok=True)
+            for log in folder.glob('*.log'):
+                shutil.copy(log, kept)
         shutil.rmtree(folder, ignore_errors=True)
     for text in record.broken:
         print(f'broken: {text}')
