--- a/review/10/scenario.py
+++ b/review/10/scenario.py
@@ -21,7 +21,7 @@
 
 BODY_BYTES = 262_144
 CLIENTS = 24
-CROWD_S = 45.0
+CROWD_S = 75.0
 # A rule allows a process to end twice in a day.
 ENDS = 3
 
