--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -12,6 +12,7 @@
 import banyantrack.testing.fake_machines
 import banyantrack.testing.platform_system
 import lib2.harness
+import lib3.harness
 
 for number in range(6, 11):
     for path in sorted(pathlib.Path(f'review/{number}').glob('*.py')):
--- a/review/part-one/late-upkeep/run.sh
+++ /dev/null
@@ -1,8 +0,0 @@
-#!/usr/bin/env bash
-# Exits with 1 if the rule was broken, 0 if it held, 2 if the case did not run.
-# TROUBLE=0 leaves the disruption out.
-set -u
-here=$(cd "$(dirname "$0")" && pwd)
-cd "$here/../../.." || exit 2
-export PYTHONPATH="target/deps:.:review/part-one/lib" PYTHONDONTWRITEBYTECODE=1
-exec python3 "$here/scenario.py" "$@"
