Send a refused stop again; only a stop carried out settles a run

What callers saw: a task ran on two executors to its end, and tasks of cancelled jobs ran on for good, after an executor had answered 503 to orders for a second.

Cause: the link noted any answer to a stop as that of a stop that was carried out. An unhealthy executor that answers 503 has done nothing. So a run that its list lacked counted as never begun although its start could still come, and a run that was there was not stopped again while its lease was renewed.

Change: only the answer that says so settles a stop. After any other, and after none, it is sent again behind the other orders of the link. The log names refused orders (`order_refused`).

--- a/banyantrack/daemons/worker_link.py
+++ b/banyantrack/daemons/worker_link.py
@@ -134,6 +134,10 @@
     Invariant: a run that a list lacks has ended or will never begin only if
     the list is complete. A worker lists a limited number of ends at a time.
 
+    Invariant: an order counts as carried out only on the answer that says so.
+    A worker that refuses an order has done nothing, so a stop that it refuses
+    neither ends the run nor prevents its start, and is sent again.
+
     Invariant: a start counts as carried out by this incarnation on its answer
     to that attempt or on its list, and as never to be carried out once this
     incarnation has answered a stop of the run. An attempt without an answer
@@ -190,7 +194,8 @@
         self._contact_loss: crashes.ContactLoss | None = None
         self._opened_at_s = clock.steady_s()
         self._unhealthy_until_s = float('-inf')
-        # Steady time at which a stop of the run was answered.
+        # Steady time at which the worker said that it has carried out a stop
+        # of the run.
         self._stop_answered_s: dict[layout.RunId, float] = {}
         self._unanswered_starts: set[layout.RunId] = set()
         # Run whose start is on its way.
@@ -686,8 +691,8 @@
         """Whether a run that the worker does not list will never be listed.
 
         The first renewal of this leader fences starts of previous leaders. A
-        start of this leader is settled if its answer, or the answer to a stop
-        of the run, came before the list was requested.
+        start of this leader is settled if its answer, or the answer that a
+        stop of the run was carried out, came before the list was requested.
 
         Args:
             run: The run.
@@ -921,24 +926,59 @@
         await self._owner.request_round()
 
     async def _send_stop(self, key: layout.TaskId, run: int) -> None:
-        while not self._closed and (key, run) in self._stopping:
-            if not self._owner.leads():
-                await curio.sleep(RETRY_DELAY_S)
-                continue
-            try:
-                order_reply = await self._client.stop(
-                    key, run, token=self._owner.token
-                )
-            except worker_client.NoAnswerError as error:
-                self._note_no_answer(error)
-                await curio.sleep(RETRY_DELAY_S)
-                continue
-            self._note_answer(order_reply.clock_ms, order_reply.reason)
-            if order_reply.reason is OrderOutcome.FENCED:
-                await self._owner.on_fenced(self._record.worker_id)
-            self._stop_answered_s[(key, run)] = clock.steady_s()
-            await self._hold_signal.notify()
+        """Sends a stop, again and again until it has been carried out.
+
+        Other orders that are queued are sent in between.
+        """
+        if (key, run) not in self._stopping:
             return
+        try:
+            order_reply = await self._client.stop(
+                key, run, token=self._owner.token
+            )
+        except worker_client.NoAnswerError as error:
+            self._note_no_answer(error)
+        else:
+            self._note_answer(order_reply.clock_ms, order_reply.reason)
+            if order_reply.reason is OrderOutcome.DONE:
+                self._stop_answered_s[(key, run)] = clock.steady_s()
+                await self._hold_signal.notify()
+                return
+            await self._handle_refusal('stop', key, run, order_reply.reason)
+        await self._order_again(_Order(stop=(key, run)))
+
+    async def _handle_refusal(
+        self, order: str, key: layout.TaskId, run: int, reason: OrderOutcome
+    ) -> None:
+        """Logs that a worker has not carried out an order, and why.
+
+        Args:
+            order: Kind of the order.
+            key: Task of the run.
+            run: Number of the run.
+            reason: The worker's answer.
+        """
+        logs.event(
+            _LOG,
+            'order_refused',
+            level=logging.WARNING,
+            order=order,
+            worker=self._record.worker_id,
+            task='.'.join(map(str, key)),
+            run=run,
+            reason=reason.value,
+        )
+        if reason is OrderOutcome.FENCED:
+            await self._owner.on_fenced(self._record.worker_id)
+        elif reason is OrderOutcome.REPLACED:
+            await self._owner.on_replaced(self._record)
+        elif reason is OrderOutcome.OTHER_INCARNATION:
+            self._responsive = False
+
+    async def _order_again(self, order: _Order) -> None:
+        """Queues an order that was not carried out behind the others."""
+        await curio.sleep(RETRY_DELAY_S)
+        await self._order(order)
 
     async def _send_pace(
         self, key: layout.TaskId, run: int, percent: int
--- a/banyantrack/testing/fake_executor.py
+++ b/banyantrack/testing/fake_executor.py
@@ -233,6 +233,8 @@
         zone: Availability zone that it announces.
         cold_remaining_ms: Time until it is warm, as it announces.
         state: State that it announces.
+        unhealthy: Share of calls that it answers with 503 and does not carry
+            out, from 0 to 1.
         announce_delay_s: Time from the start of its process until it first
             announces itself.
         usage: Reported tail response time in ms of serving tasks, and
@@ -263,6 +265,7 @@
         self.advertised = address
         self.late = late
         self.state = 'ready'
+        self.unhealthy = 0.0
         self.announce_delay_s = 0.0
         self.usage: dict[str, int] = {}
         self.paces: dict[str, int] = {}
@@ -411,6 +414,9 @@
         if request.header(b'expect-instance') != self.name:
             await request.respond(421, wire.JSON_TYPE, b'{}')
             return
+        if self.unhealthy and self._rng.random() < self.unhealthy:
+            await request.respond(503, wire.JSON_TYPE, b'{}')
+            return
         if self.late and self._rng.random() < self.late:
             delay_s = self._rng.uniform(0.5, 2.0)
             await curio.spawn(
--- a/banyantrack/testing/work_simulation.py
+++ b/banyantrack/testing/work_simulation.py
@@ -74,6 +74,8 @@
     ANSWER_LOST = 'answer lost'
     # No byte of it is sent.
     REFUSED = 'refused'
+    # The executor is unhealthy: it answers so, and does nothing.
+    UNHEALTHY = 'unhealthy'
 
 
 class Executor(fake_executor.FakeExecutor):
@@ -200,6 +202,8 @@
             await self.close()
             raise _no_response(http_client.NoResponse.REFUSED, sent=False)
         self._peer = incarnation = executor.incarnation
+        if fate is Fate.UNHEALTHY:
+            return http_client.Answer(503, [], b'{}')
         if dict(headers)['expect-instance'] != executor.name:
             return http_client.Answer(421, [], b'{}')
         values = json.loads(body)
@@ -607,6 +611,20 @@
         if answer.verdict != ttypes.JobVerdict.DONE:
             raise ValueError(answer.detail)
 
+    def cancel(self, job_id: str, *, queue: str = 'usual') -> None:
+        """Cancels a job.
+
+        Args:
+            job_id: Id of the job.
+            queue: Name of its queue.
+        """
+        command = ttypes.CancelCommand(
+            host=builders.HOST,
+            path=f'/{queue}/{job_id}',
+            key=builders.customer_key('growers'),
+        )
+        self.state.apply(ttypes.WorkCommand(cancel=command), clock.now_ms())
+
     def job_states(self) -> collections.Counter[str]:
         """Returns the number of jobs in each state."""
         return collections.Counter(
--- a/banyantrack/tests/test_platform.py
+++ b/banyantrack/tests/test_platform.py
@@ -381,6 +381,29 @@
 
         self.run_with(scenario)
 
+    def test_cancelled_jobs_on_an_unhealthy_executor(self) -> None:
+        # Guards against cancelled tasks that run on: their stops were
+        # refused, and were not sent again.
+        async def scenario(system: platform_system.PlatformSystem) -> None:
+            (executor,) = system.executors
+            jobs = [letter * 16 for letter in 'abcdef']
+            for job in jobs:
+                await system.submit(
+                    'usual', job, SMALL, behaviour={'ms': 60_000}
+                )
+            for job in jobs:
+                await system.wait_state('usual', job, 'running')
+            await curio.sleep(0.5)
+            executor.unhealthy = 0.6
+            for job in jobs[1:]:
+                await system.call('DELETE', f'/usual/{job}')
+            await curio.sleep(1.0)
+            executor.unhealthy = 0.0
+            await curio.sleep(1.0)
+            self.assertEqual([f'{jobs[0]}.0.0.0'], executor.running)
+
+        self.run_with(scenario, executors=1)
+
     def test_executors_restart_before_their_first_announcement(self) -> None:
         # Guards against a task that runs twice: a start for an incarnation
         # that had ended was carried out by the next one, and counted as lost
--- a/banyantrack/tests/test_work_leadership.py
+++ b/banyantrack/tests/test_work_leadership.py
@@ -16,6 +16,8 @@
 
 HOLD = '/v1/hold'
 START = '/v1/run-start'
+STOP = '/v1/run-stop'
+PACE = '/v1/pace'
 Fate = simulation.Fate
 
 
@@ -472,6 +474,71 @@
         simulation.run(scenario)
 
 
+class TestRefusals(testtools.TestCase):
+    """An order that an unhealthy executor refuses has not been carried out."""
+
+    def test_stop_of_an_unanswered_start(self) -> None:
+        # Guards against a task that runs twice: a refused stop counted as
+        # one that had fenced the run, whose start was carried out later.
+        async def scenario(group: simulation.Group) -> None:
+            called: list[simulation.Executor] = []
+            group.late_s = (5.0, 5.0)
+
+            def fate(executor: simulation.Executor, path: str) -> Fate:
+                if path == START and not called:
+                    called.append(executor)
+                    return Fate.LATE
+                if path != HOLD and executor in called:
+                    return Fate.UNHEALTHY
+                return Fate.ANSWERED
+
+            group.fate = fate
+            group.submit('a', accelerators=8, work_ms=20_000)
+            await curio.sleep(1.5)
+            group.fate = lambda *_: Fate.ANSWERED
+            await curio.sleep(30)
+            self.assertEqual([], group.observer.broken)
+            self.assertEqual({'completed': 1}, group.job_states())
+
+        simulation.run(scenario)
+
+    def test_stop_of_a_cancelled_job(self) -> None:
+        # Guards against a cancelled task that runs on: its lease is renewed
+        # with that of the others, and the stop was not sent again.
+        async def scenario(group: simulation.Group) -> None:
+            (executor,) = group.executors
+            group.submit('a', work_ms=60_000)
+            group.submit('b', work_ms=60_000)
+            await curio.sleep(1.0)
+            fates = [Fate.UNHEALTHY] * 3
+            group.fate = lambda _, path: (
+                fates.pop() if path == STOP and fates else Fate.ANSWERED
+            )
+            group.cancel('a')
+            await curio.sleep(1.5)
+            self.assertEqual([], fates)
+            self.assertEqual(['b.0.0.0'], executor.running)
+
+        simulation.run(scenario, executors=1)
+
+    def test_stop_for_an_urgent_job(self) -> None:
+        # Guards against an urgent job that waits until a run, whose stop was
+        # refused, ends by itself.
+        async def scenario(group: simulation.Group) -> None:
+            group.submit('a', accelerators=8, work_ms=60_000, queue='patient')
+            await curio.sleep(1.0)
+            fates = [Fate.UNHEALTHY]
+            group.fate = lambda _, path: (
+                fates.pop() if path == STOP and fates else Fate.ANSWERED
+            )
+            group.submit('b', accelerators=8, queue='urgent')
+            await curio.sleep(1.0)
+            self.assertEqual([], fates)
+            self.assertEqual(['b.0.0.0'], group.executors[0].running)
+
+        simulation.run(scenario, executors=1)
+
+
 class TestUpkeep(testtools.TestCase):
     """An upkeep whose call is not answered counts as begun."""
 
