Send a refused pace again, and use no worker that refuses a check

What callers would see: a task that fills works on beside tasks that miss their target, since its pace was refused once; a gang whose member is refused right after a check that was refused, too.

The answer to a pace was not looked at, and a check counted as answered, whatever it said.

Change: a pace is sent again until the worker has carried it out, unless another one is in force by then.

Evidence: test_worker_link.TestRefusals test_pace and test_check fail without the change and pass with it; test_pace_that_has_changed guards the repetition.

--- a/banyantrack/daemons/worker_link.py
+++ b/banyantrack/daemons/worker_link.py
@@ -212,6 +212,8 @@
         self._confirmed: dict[layout.RunId, float] = {}
         # Confirmed runs that this leader has not started.
         self._inherited: set[layout.RunId] = set()
+        # Pace of the run that was ordered last, in percent of full speed.
+        self._paces: dict[layout.RunId, int] = {}
         self._stopping: set[layout.RunId] = set()
         self._sent: set[layout.RunId] = set()
         self._checkpoints: dict[layout.TaskId, str] = {}
@@ -377,6 +379,7 @@
 
     async def pace(self, key: layout.TaskId, run: int, percent: int) -> None:
         """Queues a change of pace, in percent of full speed."""
+        self._paces[layout.RunId(key, run)] = percent
         await self._order(_Order(pace=(key, run, percent)))
 
     async def check(self) -> None:
@@ -684,6 +687,7 @@
         self._unrecorded.discard(run)
         self._confirmed.pop(run, None)
         self._inherited.discard(run)
+        self._paces.pop(run, None)
 
     def _is_permanently_absent(
         self, run: layout.RunId, sent_s: float, first: bool
@@ -858,11 +862,14 @@
         if run not in self._unanswered_starts:
             if self._responsive and refused:
                 # The worker's address refuses connections.
-                self._unhealthy_until_s = clock.steady_s() + UNHEALTHY_PERIOD_S
+                self._note_unhealthy()
             await self._record_never_began(run, 'never sent')
         elif run not in self._stopping:
             await self.stop(*run)
 
+    def _note_unhealthy(self) -> None:
+        self._unhealthy_until_s = clock.steady_s() + UNHEALTHY_PERIOD_S
+
     def _note_open_start(self, run: layout.RunId) -> None:
         self._unanswered_starts.add(run)
         self._open_starts_s[run] = clock.steady_s()
@@ -899,7 +906,7 @@
             await self._owner.on_replaced(self._record)
             return
         if order_reply.reason is OrderOutcome.UNHEALTHY:
-            self._unhealthy_until_s = clock.steady_s() + UNHEALTHY_PERIOD_S
+            self._note_unhealthy()
         if run in self._unanswered_starts:
             # An earlier attempt may still be carried out.
             await self.stop(*run)
@@ -983,16 +990,21 @@
     async def _send_pace(
         self, key: layout.TaskId, run: int, percent: int
     ) -> None:
+        if self._paces.get((key, run)) != percent:
+            # A later order has another pace, or the run has ended.
+            return
         try:
             order_reply = await self._client.pace(
                 key, run, percent, token=self._owner.token
             )
         except worker_client.NoAnswerError as error:
             self._note_no_answer(error)
-            await curio.sleep(RETRY_DELAY_S)
-            await self.pace(key, run, percent)
-            return
-        self._note_answer(order_reply.clock_ms, order_reply.reason)
+        else:
+            self._note_answer(order_reply.clock_ms, order_reply.reason)
+            if order_reply.reason is OrderOutcome.DONE:
+                return
+            await self._handle_refusal('pace', key, run, order_reply.reason)
+        await self._order_again(_Order(pace=(key, run, percent)))
 
     async def _send_check(self) -> None:
         self._check_queued = False
@@ -1012,6 +1024,9 @@
                     await self._owner.on_replaced(self._record)
                 elif order_reply.reason is OrderOutcome.OTHER_INCARNATION:
                     self._responsive = False
+                elif order_reply.reason is OrderOutcome.UNHEALTHY:
+                    # It would refuse a start, too.
+                    self._note_unhealthy()
         await self._owner.request_round()
 
     async def _handle_failed_check(
--- a/banyantrack/tests/test_worker_link.py
+++ b/banyantrack/tests/test_worker_link.py
@@ -28,6 +28,9 @@
         silent: Whether the worker answers nothing.
         error: Raised by each call, unless it is None.
         stopped: Runs whose stop was ordered.
+        paces: Paces that the worker has carried out, each with its run.
+        refusals: Outcomes of the next orders and checks, which the worker
+            does not carry out.
         running: Runs that the worker lists.
         checks: Number of checks.
         answered_ms: The worker's clock in its last answer.
@@ -41,6 +44,8 @@
         self.silent = False
         self.error: Exception | None = None
         self.stopped: list[tuple[layout.TaskId, int]] = []
+        self.paces: list[tuple[layout.TaskId, int, int]] = []
+        self.refusals: list[worker_client.OrderOutcome] = []
         self.running: list[worker_client.RunningTask] = []
         self.checks = 0
         self.answered_ms = 0
@@ -68,9 +73,10 @@
 
     async def _order(self) -> worker_client.OrderReply:
         await self._answer()
-        return worker_client.OrderReply(
-            worker_client.OrderOutcome.DONE, self.clock_ms
-        )
+        outcome = worker_client.OrderOutcome.DONE
+        if self.refusals:
+            outcome = self.refusals.pop()
+        return worker_client.OrderReply(outcome, self.clock_ms)
 
     async def start(self, *_: object, **__: object) -> typing.Any:
         """Starts a run; see `WorkerClient`."""
@@ -84,9 +90,14 @@
         self.stopped.append((key, run))
         return order_reply
 
-    async def pace(self, *_: object, **__: object) -> typing.Any:
+    async def pace(
+        self, key: layout.TaskId, run: int, percent: int, **_: object
+    ) -> typing.Any:
         """Changes the pace of a run; see `WorkerClient`."""
-        return await self._order()
+        order_reply = await self._order()
+        if order_reply.reason is worker_client.OrderOutcome.DONE:
+            self.paces.append((key, run, percent))
+        return order_reply
 
     async def check(self, **_: object) -> typing.Any:
         """Asks whether the worker answers; see `WorkerClient`."""
@@ -356,6 +367,58 @@
         self.run_link(scenario)
 
 
+class TestRefusals(LinkTest):
+    """An order that a worker refuses has not been carried out."""
+
+    def test_pace(self) -> None:
+        # Guards against a task that works beside others at a pace that was
+        # refused, for as long as it runs.
+        async def scenario(
+            link: worker_link.WorkerLink,
+            client: _FakeClient,
+            owner: _FakeOwner,
+        ) -> None:
+            self.run_task(client, owner)
+            key = layout.TaskId('a' * 16, 0, 0, 0)
+            client.refusals = [worker_client.OrderOutcome.UNHEALTHY] * 2
+            await link.pace(key, 1, 20)
+            await curio.sleep(1.0)
+            self.assertEqual([(key, 1, 20)], client.paces)
+
+        self.run_link(scenario)
+
+    def test_pace_that_has_changed(self) -> None:
+        # A pace that is sent again must not undo a later one.
+        async def scenario(
+            link: worker_link.WorkerLink,
+            client: _FakeClient,
+            owner: _FakeOwner,
+        ) -> None:
+            self.run_task(client, owner)
+            key = layout.TaskId('a' * 16, 0, 0, 0)
+            client.refusals = [worker_client.OrderOutcome.UNHEALTHY]
+            await link.pace(key, 1, 20)
+            await link.pace(key, 1, 80)
+            await curio.sleep(1.0)
+            self.assertEqual((key, 1, 80), client.paces[-1])
+
+        self.run_link(scenario)
+
+    def test_check(self) -> None:
+        # Guards against a gang that is started on a worker which has refused
+        # the check before it.
+        async def scenario(
+            link: worker_link.WorkerLink, client: _FakeClient, _: _FakeOwner
+        ) -> None:
+            await curio.sleep(1.0)
+            client.refusals = [worker_client.OrderOutcome.UNHEALTHY]
+            await link.check()
+            await curio.sleep(0.01)
+            self.assertFalse(link.usable)
+
+        self.run_link(scenario)
+
+
 class TestChecks(LinkTest):
     """A silent worker is found out before a gang waits for it."""
 
