Take an answer with an undefined status for no answer

What callers would see: a task that runs twice, if an executor has carried out a start and answers it with 500; a wave that is shown as completed although the upkeep of a machine never began, if the machines service answers 500.

A status that the platform's pages do not name counted as a refusal: of a start as one that was not carried out, of an upkeep as a machine that does not exist, which counts as done.

Any other status counts as no answer: the call is repeated, and a start is fenced by a stop.

Evidence: test_work_leadership.TestRefusals test_start_that_is_answered_with_an_error ("twice") and test_platform.TestCalls.test_wave_whose_calls_fail fail without the change and pass with it.

--- a/banyantrack/platform/workers.py
+++ b/banyantrack/platform/workers.py
@@ -79,6 +79,12 @@
 def _order_outcome(
     answer: http_client.Answer, body: wire.Fields | None
 ) -> OrderOutcome:
+    """Returns the outcome that an answer to an order tells.
+
+    Raises:
+        NoAnswerError: If its status is not one that the platform defines. It
+            does not say whether the order was carried out.
+    """
     if 200 <= answer.status < 300:
         return OrderOutcome.DONE
     if answer.status == 409 and body is not None:
@@ -87,7 +93,9 @@
         return OrderOutcome.REPLACED
     if answer.status in (429, 503):
         return OrderOutcome.UNHEALTHY
-    return OrderOutcome.INVALID
+    if answer.status in (400, 409):
+        return OrderOutcome.INVALID
+    raise worker_client.NoAnswerError(f'undefined status {answer.status}')
 
 
 class HttpWorkerClient(worker_client.WorkerClient):
--- a/banyantrack/testing/fake_machines.py
+++ b/banyantrack/testing/fake_machines.py
@@ -31,6 +31,8 @@
             the name of its executor.
 
     Attributes:
+        errors: Number of the next calls that it answers with 500 and does not
+            carry out.
         upkeep_order: Machines in the order of their upkeep.
         max_in_upkeep: Largest number of machines in upkeep at once.
         cut: Tasks that an upkeep has ended.
@@ -42,6 +44,7 @@
         executors: collections.abc.Iterable[fake_executor.FakeExecutor],
     ) -> None:
         self.address = address
+        self.errors = 0
         self.upkeep_order: list[str] = []
         self.max_in_upkeep = 0
         self.cut: list[str] = []
@@ -61,6 +64,10 @@
     async def _serve(self, request: http_server.Request) -> None:
         body = json.loads(await request.read_body(65536))
         machine = body['machine']
+        if self.errors:
+            self.errors -= 1
+            await request.respond(500, wire.JSON_TYPE, b'{}')
+            return
         token = int(request.header(b'fencing-token') or 0)
         if machine not in self._executors:
             await request.respond(400, wire.JSON_TYPE, b'{}')
--- a/banyantrack/testing/work_simulation.py
+++ b/banyantrack/testing/work_simulation.py
@@ -74,6 +74,8 @@
     ANSWER_LOST = 'answer lost'
     # No byte of it is sent.
     REFUSED = 'refused'
+    # Carried out, and answered with a status that says nothing.
+    ERROR = 'error'
     # The executor is unhealthy: it answers so, and does nothing.
     UNHEALTHY = 'unhealthy'
 
@@ -215,6 +217,8 @@
         else:
             async with curio.ignore_after(timeout_s):
                 answer = await executor.carry_out(target, values)
+        if answer is not None and fate is Fate.ERROR:
+            return http_client.Answer(500, [], b'{}')
         if answer is None or fate is not Fate.ANSWERED:
             await curio.sleep(timeout_s)
             await self._member.wait_awake()
--- a/banyantrack/tests/test_platform.py
+++ b/banyantrack/tests/test_platform.py
@@ -17,13 +17,12 @@
 from banyantrack.testing import fake_machines
 from banyantrack.testing import fake_policy
 from banyantrack.testing import platform_system
+from banyantrack.testing import system as system_module
 from banyantrack.transport import http_client
 
 if typing.TYPE_CHECKING:
     import collections.abc
 
-    from banyantrack.testing import system as system_module
-
     Scenario = collections.abc.Callable[
         [platform_system.PlatformSystem],
         collections.abc.Awaitable[None],
@@ -227,6 +226,36 @@
 
         self.run_with(scenario, executors=3)
 
+    def test_wave_whose_calls_fail(self) -> None:
+        # Guards against a wave that is said to be completed although the
+        # upkeep of a machine has not begun: its call was answered with 500.
+        async def scenario(system: platform_system.PlatformSystem) -> None:
+            machine_service = fake_machines.FakeMachines(
+                system.machines_address, system.executors
+            )
+            machine_service.errors = 2
+            await machine_service.open()
+            machines = [f'm-{e.name}' for e in system.executors]
+            wave = {
+                'wave': 1,
+                'machines': machines,
+                'durationS': 20,
+                'maximum': 1,
+            }
+            await system.operator('POST', '/v1/wave-start', wave)
+
+            async def completed() -> bool:
+                _, answer = await system.operator('GET', '/v1/wave-get/1')
+                return answer.get('state') == 'completed'
+
+            await system_module.wait_for(completed, 'the wave is completed')
+            self.assertEqual(
+                sorted(machines), sorted(machine_service.upkeep_order)
+            )
+            await machine_service.close()
+
+        self.run_with(scenario, executors=2)
+
     def test_configurations(self) -> None:
         async def scenario(system: platform_system.PlatformSystem) -> None:
             newer = copy.deepcopy(platform_system.DEFAULT_CONFIG)
--- a/banyantrack/tests/test_work_leadership.py
+++ b/banyantrack/tests/test_work_leadership.py
@@ -521,6 +521,21 @@
 
         simulation.run(scenario, executors=1)
 
+    def test_start_that_is_answered_with_an_error(self) -> None:
+        # Guards against a task that runs twice: an answer with an undefined
+        # status counted as a refusal, though its start was carried out.
+        async def scenario(group: simulation.Group) -> None:
+            fates = [Fate.ERROR] * 3
+            group.fate = lambda _, path: (
+                fates.pop() if path == START and fates else Fate.ANSWERED
+            )
+            group.submit('a', accelerators=8, work_ms=5000)
+            await curio.sleep(15)
+            self.assertEqual([], group.observer.broken)
+            self.assertEqual({'completed': 1}, group.job_states())
+
+        simulation.run(scenario)
+
     def test_stop_for_an_urgent_job(self) -> None:
         # Guards against an urgent job that waits until a run, whose stop was
         # refused, ends by itself.
