Renew the lease only of an incarnation that has identified itself

What callers saw: tasks that ran on two executors at once, on deployments whose executors started again under their ids and were cut off soon after.

Cause: renewals for the former incarnation reached the next one before its first report. The leader refused their answers, but the executor had carried them out. The end of the lease is a time on the former incarnation's clock; the next one, whose clock starts anew, granted its longest lease each time. So the run counted as lost while it had up to some seconds left.

Change: on a new connection to a worker the first call is a list that grants nothing; renewals follow once the recorded incarnation has answered there.

--- a/banyantrack/daemons/worker_link.py
+++ b/banyantrack/daemons/worker_link.py
@@ -144,7 +144,8 @@
     may be carried out for `LATE_ORDER_S`, also by the next incarnation, which
     has not heard of the stop. So such attempts are passed on from link to
     link, and each incarnation is ordered to stop these runs before it gets
-    work.
+    work. Once a later incarnation has answered, the lapse of this one's lease
+    does not end such a run.
 
     Args:
         record: The worker.
@@ -186,6 +187,8 @@
         self._lease_end_ms = 0
         self._pending_lease_ends_ms: list[int] = []
         self._responsive = True
+        # Whether the next incarnation has answered at the worker's address.
+        self._superseded = False
         # Steady time of the last answer to an order or a renewal.
         self._answered_at_s = float('-inf')
         self._check_queued = False
@@ -453,9 +456,11 @@
     ) -> None:
         """Records an answer to an order or a renewal.
 
-        Answers of others tell nothing about this incarnation and its clock.
+        Answers of others tell nothing about the clock of this incarnation.
         """
         if outcome in worker_client.ANSWERS_OF_OTHERS:
+            if outcome is OrderOutcome.OTHER_INCARNATION:
+                self._superseded = True
             return
         self._note_clock(clock_ms)
         self._answered_at_s = clock.steady_s()
@@ -755,7 +760,11 @@
         self._responsive = False
         if not self._lease_has_lapsed():
             return
-        lost = self._live_runs()
+        lost = [
+            (key, task)
+            for key, task in self._live_runs()
+            if not self._may_run_next(layout.RunId(key, task.run))
+        ]
         if not lost:
             return
         logs.event(
@@ -772,6 +781,19 @@
                 await self._forget_lost_run(layout.RunId(key, task.run))
             await self._owner.request_round()
 
+    def _may_run_next(self, run: layout.RunId) -> bool:
+        """Whether the next incarnation may carry out a run's start, or has.
+
+        It grants its longest lease when it does, whatever the lease of this
+        incarnation was. Its first report ends the wait, since its own link
+        then stops the run.
+        """
+        open_s = self._open_starts_s.get(run)
+        if not self._superseded or open_s is None:
+            return False
+        lease_s = self._lease_ms / 1000 / MIN_CLOCK_RATE
+        return clock.steady_s() <= open_s + LATE_ORDER_S + lease_s
+
     async def _forget_lost_run(self, run: layout.RunId) -> None:
         """Forgets a run whose lease has lapsed, unless its start may come."""
         may_come = (
--- a/banyantrack/platform/workers.py
+++ b/banyantrack/platform/workers.py
@@ -101,9 +101,9 @@
 class HttpWorkerClient(worker_client.WorkerClient):
     """Sends orders to one executor over HTTP.
 
-    Invariant: a call that starts, stops or paces a run or acknowledges ends
-    is sent only on a connection on which this incarnation has identified
-    itself with a list of its runs. The next incarnation has
+    Invariant: a call that starts, stops or paces a run, extends the lease or
+    acknowledges ends is sent only on a connection on which this incarnation
+    has identified itself with a list of its runs. The next incarnation has
     the same address and id, so it takes calls for this one, and only lists
     name the incarnation that answers. A connection ends with the process at
     its other end, so it has to be identified again after each reconnection.
@@ -184,24 +184,18 @@
     ) -> worker_client.LeaseReply:
         """Renews the lease; see `WorkerClient`."""
         client = self._lease_client
-        identified = self._is_identified(client)
-        values = {
-            'fencingToken': token,
-            'lastSeen': acknowledged if identified else 0,
-        }
+        if not self._is_identified(client):
+            # The lease ends at a time on the clock of this incarnation. The
+            # next one, whose clock starts anew, would grant all that it may.
+            return await self._identify(client, token, ORDER_TIMEOUT_S)
+        values = {'fencingToken': token, 'lastSeen': acknowledged}
         if lease_end_ms is not None:
             values['expiresMs'] = lease_end_ms
         if wait_ms:
             values['waitMs'] = wait_ms
-        reply = await self._list_runs(
-            client,
-            values,
-            timeout_s=ORDER_TIMEOUT_S + wait_ms / 1000,
-            only_if_open=identified,
+        return await self._list_runs(
+            client, values, timeout_s=ORDER_TIMEOUT_S + wait_ms / 1000
         )
-        if reply.reason is OrderOutcome.DONE:
-            self._identified.add(client)
-        return reply
 
     async def check(
         self, *, token: int, acknowledged: int
--- a/banyantrack/testing/fake_executor.py
+++ b/banyantrack/testing/fake_executor.py
@@ -235,6 +235,7 @@
         state: State that it announces.
         unhealthy: Share of calls that it answers with 503 and does not carry
             out, from 0 to 1.
+        cut_off: Whether it runs on, but exchanges nothing with control.
         announce_delay_s: Time from the start of its process until it first
             announces itself.
         usage: Reported tail response time in ms of serving tasks, and
@@ -266,6 +267,7 @@
         self.late = late
         self.state = 'ready'
         self.unhealthy = 0.0
+        self.cut_off = False
         self.announce_delay_s = 0.0
         self.usage: dict[str, int] = {}
         self.paces: dict[str, int] = {}
@@ -368,6 +370,7 @@
         await curio.sleep(self.announce_delay_s)
         attempt = 0
         while True:
+            await self._wait_connected()
             self._sequence += 1
             body = wire.encode(
                 {
@@ -406,9 +409,14 @@
 
     # Orders.
 
+    async def _wait_connected(self) -> None:
+        while self.cut_off:
+            await curio.sleep(TICK_INTERVAL_S)
+
     async def _serve(self, request: http_server.Request) -> None:
         body = json.loads(await request.read_body(65536) or b'{}')
-        if not self._incarnation:
+        if not self._incarnation or self.cut_off:
+            await self._wait_connected()
             await request.connection.close()
             return
         if request.header(b'expect-instance') != self.name:
@@ -429,6 +437,7 @@
             await request.connection.close()
             return
         status, values = await self.carry_out(request.target, body)
+        await self._wait_connected()
         await request.respond(status, wire.JSON_TYPE, wire.encode(values))
 
     async def carry_out(
--- a/banyantrack/tests/test_platform.py
+++ b/banyantrack/tests/test_platform.py
@@ -433,6 +433,28 @@
 
         self.run_with(scenario, executors=1)
 
+    def test_restarted_executors_that_are_cut_off(self) -> None:
+        # Guards against a task that runs twice: the next incarnation carried
+        # out its start and renewals, was cut off before it had announced
+        # itself, and ran on after the lease of the former one had lapsed.
+        async def scenario(system: platform_system.PlatformSystem) -> None:
+            restarted = system.executors[:2]
+            for executor in restarted:
+                executor.announce_delay_s = 60.0
+                await executor.restart()
+            jobs = ['a' * 16, 'b' * 16]
+            step = {'count': 1, 'gpu': 8, 'estimatedMs': 15_000}
+            behaviour = {'ms': 9000, 'need': {'gpu': 8}}
+            for job in jobs:
+                await system.submit('usual', job, step, behaviour=behaviour)
+            await curio.sleep(2.5)
+            for executor in restarted:
+                executor.cut_off = True
+            for job in jobs:
+                await system.wait_state('usual', job, 'completed')
+
+        self.run_with(scenario, executors=4)
+
     def test_executors_restart_before_their_first_announcement(self) -> None:
         # Guards against a task that runs twice: a start for an incarnation
         # that had ended was carried out by the next one, and counted as lost
--- a/banyantrack/tests/test_work_leadership.py
+++ b/banyantrack/tests/test_work_leadership.py
@@ -327,21 +327,35 @@
         The start gets no answer, and is carried out after the restart.
         """
         executor, spare = group.executors
+        await self.lose_start(group, work_ms, late_s=0.05)
+        await curio.sleep(0.05)
+        self.assertEqual(['a.0.0.0'], executor.running)
+        group.record(spare.record)
+
+    async def lose_start(
+        self, group: simulation.Group, work_ms: int, *, late_s: float
+    ) -> None:
+        """Starts a task on an executor, without an answer, and restarts it.
+
+        Args:
+            group: The group; its second executor gets no work.
+            work_ms: Run time of the task.
+            late_s: Time until the start is carried out.
+        """
+        executor, spare = group.executors
         self.occupy(group, spare)
-        await curio.sleep(0.1)
+        # The clock of the next incarnation is far behind this one's.
+        await curio.sleep(20)
         fates = [Fate.LATE]
-        group.late_s = (0.05, 0.05)
+        group.late_s = (late_s, late_s)
         group.fate = lambda _, path: (
             fates.pop() if path == START and fates else Fate.ANSWERED
         )
         group.submit('a', accelerators=8, work_ms=work_ms)
-        await curio.sleep(0.03)
-        self.assertEqual([], fates)
+        while fates:
+            await curio.sleep(0.001)
         await executor.crash()
         await executor.open_again()
-        await curio.sleep(0.05)
-        self.assertEqual(['a.0.0.0'], executor.running)
-        group.record(spare.record)
 
     def occupy(
         self, group: simulation.Group, spare: simulation.Executor
@@ -414,6 +428,55 @@
 
         simulation.run(scenario, executors=1)
 
+    def test_renewals_for_an_incarnation_that_has_ended(self) -> None:
+        # Guards against a run whose lease is renewed although it counts as
+        # lost: the next incarnation carried out renewals for the former one,
+        # and its clock, which starts anew, granted them in full.
+        async def scenario(group: simulation.Group) -> None:
+            await self.misroute(group, work_ms=60_000)
+            executor, spare = group.executors
+            self.occupy(group, spare)
+            # Calls reach the next incarnation, which has not reported yet.
+            await curio.sleep(3.0)
+            group.fate = lambda called, _: (
+                Fate.REFUSED if called is executor else Fate.ANSWERED
+            )
+            await curio.sleep(3.5)
+            self.assertEqual([], executor.running)
+
+        simulation.run(scenario)
+
+    def test_next_incarnation_that_is_cut_off(self) -> None:
+        # Guards against a task that runs twice: it was started anew when the
+        # lease of the former incarnation had lapsed, while the next one, which
+        # had not reported yet, was cut off and carried out the first start.
+        async def scenario(group: simulation.Group) -> None:
+            executor, spare = group.executors
+            await self.lose_start(group, work_ms=12_000, late_s=4.0)
+            await curio.sleep(1.5)
+            group.fate = lambda called, _: (
+                Fate.REFUSED if called is executor else Fate.ANSWERED
+            )
+            group.record(spare.record)
+            await curio.sleep(60)
+            self.assertEqual([], group.observer.broken)
+            self.assertEqual({'completed': 1}, group.job_states())
+
+        simulation.run(scenario)
+
+    def test_next_incarnation_that_reports(self) -> None:
+        # Guards against a task that waits for long: the report of the next
+        # incarnation ends the wait for a start without an answer.
+        async def scenario(group: simulation.Group) -> None:
+            await self.misroute(group, work_ms=60_000)
+            await curio.sleep(1.5)
+            group.record(group.executors[0].record)
+            await curio.sleep(0.5)
+            self.assertEqual(2, len(group.observer.starts))
+            self.assertEqual([], group.observer.broken)
+
+        simulation.run(scenario)
+
     def test_run_of_an_earlier_leader(self) -> None:
         # Guards against a task that runs twice: the next leader, which knows
         # nothing of an unanswered start, recorded its run as lost as soon as
