Log when another incarnation answers for a worker

Cause: only the refused renewals were logged, each time. Change: one line, worker_superseded, with the number of starts that may still be carried out. Measured: tests of links and leadership pass.

--- a/banyantrack/daemons/worker_link.py
+++ b/banyantrack/daemons/worker_link.py
@@ -460,13 +460,26 @@
         """
         if outcome in worker_client.ANSWERS_OF_OTHERS:
             if outcome is OrderOutcome.OTHER_INCARNATION:
-                self._superseded = True
+                self._note_superseded()
             return
         self._note_clock(clock_ms)
         self._answered_at_s = clock.steady_s()
         self._unanswered = False
         self._contact_loss = None
 
+    def _note_superseded(self) -> None:
+        if self._superseded:
+            return
+        self._superseded = True
+        logs.event(
+            _LOG,
+            'worker_superseded',
+            level=logging.WARNING,
+            worker=self._record.worker_id,
+            incarnation=self._record.incarnation,
+            open_starts=len(self.open_starts_s),
+        )
+
     def _note_no_answer(self, error: worker_client.NoAnswerError) -> None:
         """Records that an order or a renewal was not answered."""
         now_s = clock.steady_s()
