Play executors that restart unnoticed and refuse orders, in virtual time

Cause: no simulation let an executor take calls before its first report, be cut off before or after it, or refuse orders.

--- a/banyantrack/testing/work_simulation.py
+++ b/banyantrack/testing/work_simulation.py
@@ -238,8 +238,11 @@
         path: str,
         values: dict[str, typing.Any],
     ) -> None:
+        incarnation = executor.incarnation
         await curio.sleep(self._group.rng.uniform(*self._group.late_s))
-        if executor.up:
+        if executor.incarnation == incarnation or (
+            executor.up and self._group.late_orders_outlive
+        ):
             await executor.carry_out(path, values)
 
 
@@ -360,6 +363,8 @@
         leader: The member that leads.
         fate: Decides what becomes of an order, from the executor and path.
         late_s: Range of the time until a late order is carried out.
+        late_orders_outlive: Whether the next incarnation carries out late
+            orders for one that has ended.
         crashes: Executors that have crashed under each task.
         upkeeps: Machines of all calls to begin an upkeep; each call is
             carried out, but not answered.
@@ -393,6 +398,7 @@
             lambda *_: Fate.ANSWERED
         )
         self.late_s = LATE_S
+        self.late_orders_outlive = True
         self.crashes: collections.Counter[str] = collections.Counter()
         self.upkeeps: list[str] = []
         self._leadership: work_leadership.WorkLeadership | None = None
@@ -518,9 +524,13 @@
             self.crashes[task] += 1
         await executor.crash()
         await curio.sleep(down_s)
+        if executor.up:
+            # Another restart has overtaken this one.
+            return
         await executor.open_again()
         await curio.sleep(REGISTRATION_DELAY_S)
-        self.record(executor.record)
+        if executor.up:
+            self.record(executor.record)
 
     def record(self, worker: ttypes.WorkerRecord) -> None:
         """Records a worker, as after its report."""
