Record the next incarnation of a worker when it answers, not when it reports

What callers would see: a task that waits up to 18 s for an executor that was back long ago, or that runs twice if that executor carries out a late start before its first report.

Cause: the leader learned of the next incarnation by a list that named it, and did nothing with that but refuse the list. Orders to stop what the former one was ordered to start left only after the report.

Change: the incarnation in such a list is recorded at once, without capacity, labels or a report's sequence, so it gets no work, its first report is newer, and its link stops the runs in doubt. The longer wait is taken out. The soak lets executors refuse calls and restart unnoticed.

--- a/banyantrack/daemons/work_session.py
+++ b/banyantrack/daemons/work_session.py
@@ -336,6 +336,45 @@
         )
         await self._record_gone(known)
 
+    async def on_superseded(
+        self, worker: ttypes.WorkerRecord, incarnation: int
+    ) -> None:
+        """Records a later incarnation of a worker, before its first report.
+
+        It gets no work until it has reported its capacity and labels, but is
+        ordered to stop what the earlier one was ordered to start.
+
+        Args:
+            worker: The record of the earlier incarnation.
+            incarnation: The incarnation that has answered in its place.
+        """
+        known = self._state.workers.get(worker.worker_id)
+        if (
+            known is None
+            or known.incarnation != worker.incarnation
+            or known.incarnation >= incarnation
+        ):
+            return
+        logs.event(
+            _LOG,
+            'worker_superseded',
+            level=logging.WARNING,
+            worker=worker.worker_id,
+            incarnation=incarnation,
+            earlier=worker.incarnation,
+        )
+        self._metrics.counter('banyan_workers_superseded').add()
+        successor = copy.copy(known)
+        successor.incarnation = incarnation
+        successor.state = ttypes.WorkerState.READY
+        successor.cpu_milli = successor.memory_mb = 0
+        successor.accelerators = 0
+        successor.labels = []
+        # Any report of it is newer.
+        successor.sequence = None
+        await self.propose(ttypes.WorkCommand(workers=[successor]))
+        await self.request_round()
+
     async def on_left(self, worker: ttypes.WorkerRecord) -> None:
         """Records a worker as gone, since it has left and has ended."""
         logs.event(
--- a/banyantrack/daemons/worker_link.py
+++ b/banyantrack/daemons/worker_link.py
@@ -81,6 +81,11 @@
     async def on_replaced(self, worker: ttypes.WorkerRecord) -> None:
         """Called when another worker has a worker's address."""
 
+    async def on_superseded(
+        self, worker: ttypes.WorkerRecord, incarnation: int
+    ) -> None:
+        """Called when another incarnation answers at a worker's address."""
+
     def on_silent(self, worker: ttypes.WorkerRecord) -> None:
         """Called when a worker stops answering."""
 
@@ -144,8 +149,7 @@
     may be carried out for `LATE_ORDER_S`, also by the next incarnation, which
     has not heard of the stop. So such attempts are passed on from link to
     link, and each incarnation is ordered to stop these runs before it gets
-    work. Once a later incarnation has answered, the lapse of this one's lease
-    does not end such a run.
+    work, as soon as it answers for the former one.
 
     Args:
         record: The worker.
@@ -187,8 +191,6 @@
         self._lease_end_ms = 0
         self._pending_lease_ends_ms: list[int] = []
         self._responsive = True
-        # Whether the next incarnation has answered at the worker's address.
-        self._superseded = False
         # Steady time of the last answer to an order or a renewal.
         self._answered_at_s = float('-inf')
         self._check_queued = False
@@ -459,27 +461,12 @@
         Answers of others tell nothing about the clock of this incarnation.
         """
         if outcome in worker_client.ANSWERS_OF_OTHERS:
-            if outcome is OrderOutcome.OTHER_INCARNATION:
-                self._note_superseded()
             return
         self._note_clock(clock_ms)
         self._answered_at_s = clock.steady_s()
         self._unanswered = False
         self._contact_loss = None
 
-    def _note_superseded(self) -> None:
-        if self._superseded:
-            return
-        self._superseded = True
-        logs.event(
-            _LOG,
-            'worker_superseded',
-            level=logging.WARNING,
-            worker=self._record.worker_id,
-            incarnation=self._record.incarnation,
-            open_starts=len(self.open_starts_s),
-        )
-
     def _note_no_answer(self, error: worker_client.NoAnswerError) -> None:
         """Records that an order or a renewal was not answered."""
         now_s = clock.steady_s()
@@ -589,6 +576,8 @@
             await self._owner.on_replaced(self._record)
             await curio.sleep(RETRY_DELAY_S)
             return
+        if lease_reply.reason is OrderOutcome.OTHER_INCARNATION:
+            await self._handle_superseded(lease_reply.incarnation)
         if lease_reply.reason is not OrderOutcome.DONE:
             logs.event(
                 _LOG,
@@ -773,11 +762,7 @@
         self._responsive = False
         if not self._lease_has_lapsed():
             return
-        lost = [
-            (key, task)
-            for key, task in self._live_runs()
-            if not self._may_run_next(layout.RunId(key, task.run))
-        ]
+        lost = self._live_runs()
         if not lost:
             return
         logs.event(
@@ -794,19 +779,6 @@
                 await self._forget_lost_run(layout.RunId(key, task.run))
             await self._owner.request_round()
 
-    def _may_run_next(self, run: layout.RunId) -> bool:
-        """Whether the next incarnation may carry out a run's start, or has.
-
-        It grants its longest lease when it does, whatever the lease of this
-        incarnation was. Its first report ends the wait, since its own link
-        then stops the run.
-        """
-        open_s = self._open_starts_s.get(run)
-        if not self._superseded or open_s is None:
-            return False
-        lease_s = self._lease_ms / 1000 / MIN_CLOCK_RATE
-        return clock.steady_s() <= open_s + LATE_ORDER_S + lease_s
-
     async def _forget_lost_run(self, run: layout.RunId) -> None:
         """Forgets a run whose lease has lapsed, unless its start may come."""
         may_come = (
@@ -932,10 +904,10 @@
             await self._owner.on_fenced(self._record.worker_id)
             return
         if order_reply.reason is OrderOutcome.OTHER_INCARNATION:
-            self._responsive = False
             if run not in self._unanswered_starts:
                 await self._record_never_began(run, order_reply.reason.value)
             # Else the link to that incarnation stops the run there.
+            await self._handle_superseded(order_reply.incarnation)
             return
         if order_reply.reason is OrderOutcome.REPLACED:
             await self._owner.on_replaced(self._record)
@@ -986,11 +958,15 @@
                 self._stop_answered_s[(key, run)] = clock.steady_s()
                 await self._hold_signal.notify()
                 return
-            await self._handle_refusal('stop', key, run, order_reply.reason)
+            await self._handle_refusal('stop', key, run, order_reply)
         await self._order_again(_Order(stop=(key, run)))
 
     async def _handle_refusal(
-        self, order: str, key: layout.TaskId, run: int, reason: OrderOutcome
+        self,
+        order: str,
+        key: layout.TaskId,
+        run: int,
+        order_reply: worker_client.OrderReply,
     ) -> None:
         """Logs that a worker has not carried out an order, and why.
 
@@ -998,8 +974,9 @@
             order: Kind of the order.
             key: Task of the run.
             run: Number of the run.
-            reason: The worker's answer.
+            order_reply: The worker's answer.
         """
+        reason = order_reply.reason
         logs.event(
             _LOG,
             'order_refused',
@@ -1015,7 +992,12 @@
         elif reason is OrderOutcome.REPLACED:
             await self._owner.on_replaced(self._record)
         elif reason is OrderOutcome.OTHER_INCARNATION:
-            self._responsive = False
+            await self._handle_superseded(order_reply.incarnation)
+
+    async def _handle_superseded(self, incarnation: int) -> None:
+        """Gives up this incarnation, since another one has answered."""
+        self._responsive = False
+        await self._owner.on_superseded(self._record, incarnation)
 
     async def _order_again(self, order: _Order) -> None:
         """Queues an order that was not carried out behind the others."""
@@ -1038,7 +1020,7 @@
             self._note_answer(order_reply.clock_ms, order_reply.reason)
             if order_reply.reason is OrderOutcome.DONE:
                 return
-            await self._handle_refusal('pace', key, run, order_reply.reason)
+            await self._handle_refusal('pace', key, run, order_reply)
         await self._order_again(_Order(pace=(key, run, percent)))
 
     async def _send_check(self) -> None:
@@ -1058,7 +1040,7 @@
                 elif order_reply.reason is OrderOutcome.REPLACED:
                     await self._owner.on_replaced(self._record)
                 elif order_reply.reason is OrderOutcome.OTHER_INCARNATION:
-                    self._responsive = False
+                    await self._handle_superseded(order_reply.incarnation)
                 elif order_reply.reason is OrderOutcome.UNHEALTHY:
                     # It would refuse a start, too.
                     self._note_unhealthy()
--- a/banyantrack/platform/workers.py
+++ b/banyantrack/platform/workers.py
@@ -213,7 +213,7 @@
                 )
         finally:
             await self._connections.note_used(client)
-        return worker_client.OrderReply(reply.reason, reply.clock_ms)
+        return _order_reply(reply)
 
     async def close(self) -> None:
         """Closes all connections."""
@@ -232,9 +232,7 @@
                     client, values['fencingToken'], ORDER_TIMEOUT_S
                 )
                 if reply.reason is not OrderOutcome.DONE:
-                    return worker_client.OrderReply(
-                        reply.reason, reply.clock_ms
-                    )
+                    return _order_reply(reply)
             answer = await self._call(client, path, values)
         finally:
             await self._connections.note_used(client)
@@ -307,8 +305,13 @@
                     f'{self._worker.address}: list of unknown origin'
                 )
             if not self._is_of_incarnation(body):
-                outcome = OrderOutcome.OTHER_INCARNATION
-        if outcome in worker_client.ANSWERS_OF_OTHERS:
+                await client.close()
+                return worker_client.LeaseReply(
+                    OrderOutcome.OTHER_INCARNATION,
+                    None,
+                    incarnation=body.integer('born'),
+                )
+        if outcome is OrderOutcome.REPLACED:
             await client.close()
         clock_ms = _clock_ms(body)
         if outcome is not OrderOutcome.DONE:
@@ -357,6 +360,14 @@
         return None if found.found else fields
 
 
+def _order_reply(
+    reply: worker_client.LeaseReply,
+) -> worker_client.OrderReply:
+    return worker_client.OrderReply(
+        reply.reason, reply.clock_ms, reply.incarnation
+    )
+
+
 def _clock_ms(body: wire.Fields | None) -> int | None:
     if body is None or 'clockMs' not in body:
         return None
--- a/banyantrack/testing/platform_soak.py
+++ b/banyantrack/testing/platform_soak.py
@@ -4,7 +4,8 @@
 signals and started without their data, in overlapping sequences. Executors
 are reached through proxies that delay, reset or block connections in one or
 both directions. Some tasks crash the executors that start them, and executors
-shrink and grow. Crowds of clients stall within their requests. The
+shrink and grow, refuse calls, or start again unnoticed at first and are cut
+off. Crowds of clients stall within their requests. The
 observations of callers, executors and the operator are checked against the
 guarantees of the system.
 """
@@ -29,6 +30,7 @@
 
 import curio
 
+from banyantrack.testing import fake_executor
 from banyantrack.testing import fault_proxy
 from banyantrack.testing import platform_system
 from banyantrack.testing import system
@@ -49,6 +51,12 @@
 ZONES = ('z1', 'z2', 'z3')
 # An evacuation takes effect 5 s after its acknowledgement.
 EVACUATION_S = (4.0, 9.0)
+# Ranges of the delays between executors that refuse calls or start again
+# unnoticed, and of the times that they do so.
+DISTURB_PAUSE_S = (0.5, 2.5)
+UNHEALTHY_S = (0.3, 2.0)
+ANNOUNCE_DELAY_S = (0.0, 3.0)
+CUT_OFF_S = (0.5, 9.0)
 # Clients of a crowd, and the largest body that each stops sending before its
 # end.
 CROWD_CLIENTS = 20
@@ -127,6 +135,7 @@
         self._faults_over = False
         self.faults: collections.Counter[str] = collections.Counter()
         self.crowds = 0
+        self.disturbed: collections.Counter[str] = collections.Counter()
         self.broken: list[str] = []
 
     @property
@@ -154,6 +163,7 @@
             'crashes': dict(self._system.observer.crashes),
             'faults': dict(self.faults),
             'crowds': self.crowds,
+            'disturbed': dict(self.disturbed),
             'broken': self.broken,
         }
 
@@ -168,6 +178,7 @@
             ]
             supervisor = await curio.spawn(self._supervise, daemon=True)
             tasks.append(await curio.spawn(self._hold_crowds))
+            tasks.append(await curio.spawn(self._disturb_executors))
             await self._inject_faults()
             self._faults_over = True
             await self._end_faults()
@@ -311,6 +322,46 @@
         finally:
             self._evacuating = False
 
+    async def _disturb_executors(self) -> None:
+        """Lets executors refuse calls, or start again unnoticed.
+
+        Not part of the schedule of faults, so that earlier seeds keep theirs.
+        """
+        rng = random.Random(self._seed + 1)
+        tasks = []
+        while not self._faults_over:
+            await curio.sleep(rng.uniform(*DISTURB_PAUSE_S))
+            executor = rng.choice(self._system.executors)
+            disturb = rng.choice((self._refuse_calls, self._restart_unnoticed))
+            self.disturbed[disturb.__name__.strip('_')] += 1
+            tasks.append(await curio.spawn(disturb, executor, rng))
+        for task in tasks:
+            await task.join()
+
+    async def _refuse_calls(
+        self, executor: fake_executor.FakeExecutor, rng: random.Random
+    ) -> None:
+        executor.unhealthy = rng.uniform(0.2, 1.0)
+        await curio.sleep(rng.uniform(*UNHEALTHY_S))
+        executor.unhealthy = 0.0
+
+    async def _restart_unnoticed(
+        self, executor: fake_executor.FakeExecutor, rng: random.Random
+    ) -> None:
+        """Restarts an executor that takes calls before its first report.
+
+        It may be cut off before that report, or soon after it.
+        """
+        if not executor.up or executor.announce_delay_s:
+            return
+        executor.announce_delay_s = rng.uniform(*ANNOUNCE_DELAY_S)
+        await executor.restart()
+        await curio.sleep(rng.uniform(*ANNOUNCE_DELAY_S))
+        executor.cut_off = True
+        await curio.sleep(rng.uniform(*CUT_OFF_S))
+        executor.cut_off = False
+        executor.announce_delay_s = 0.0
+
     async def _hold_crowds(self) -> None:
         """Holds one crowd of stalling clients after the other.
 
--- a/banyantrack/workload/worker_client.py
+++ b/banyantrack/workload/worker_client.py
@@ -85,10 +85,12 @@
         reason: Outcome.
         clock_ms: Time on the worker's clock, in milliseconds; None if the
             answer has none.
+        incarnation: The incarnation that answered, if it is another one.
     """
 
     reason: OrderOutcome
     clock_ms: int | None
+    incarnation: int | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -142,6 +144,7 @@
         ended: Ended runs that were not acknowledged yet, oldest first.
         complete: Whether `ended` holds all of them; if not, the next list
             holds more once these are acknowledged.
+        incarnation: The incarnation that answered, if it is another one.
     """
 
     reason: OrderOutcome
@@ -149,6 +152,7 @@
     running: tuple[RunningTask, ...] = ()
     ended: tuple[EndedTask, ...] = ()
     complete: bool = True
+    incarnation: int | None = None
 
 
 class WorkerClient(abc.ABC):
