--- a/banyantrack/testing/fake_executor.py
+++ b/banyantrack/testing/fake_executor.py
@@ -3,12 +3,11 @@
 An executor checks leases and fencing tokens, lists its runs and their ends,
 and may carry out orders late without an answer. It answers no more than the
 documentation promises: its incarnation is only in its announcements and in
-its lists of runs, and a late order may be carried out by the next process
-that starts under its id. All executors of a test share an observer that
-records violations of guarantees. The spec of a job is JSON that defines how
-its tasks behave: `ms` (run time), `fail` (share of runs that fail), `gang`
-(number of members), `need` (resources of a task) and `crash` (indexes of the
-tasks that crash each executor that starts them).
+its lists of runs. All executors of a test share an observer that records
+violations of guarantees. The spec of a job is JSON that defines how its tasks
+behave: `ms` (run time), `fail` (share of runs that fail), `gang` (number of
+members), `need` (resources of a task) and `crash` (indexes of the tasks that
+crash each executor that starts them).
 """
 
 from __future__ import annotations
@@ -454,8 +453,11 @@
     async def _carry_out_late(
         self, target: str, body: dict, delay_s: float
     ) -> None:
+        incarnation = self._incarnation
         await curio.sleep(delay_s)
-        if self.up:
+        # An order that a process has not carried out ends with the process.
+        # Nobody could stop the next one from doing so while it is cut off.
+        if self._incarnation == incarnation:
             await self._carry_out(target, body)
 
     async def _carry_out(
