Soak: restarts without notice may let a job be given up

Change: restarts of that disturbance count as such crashes of the tasks that ran there; all other jobs are checked as before.

--- a/banyantrack/testing/platform_soak.py
+++ b/banyantrack/testing/platform_soak.py
@@ -135,6 +135,8 @@
         self._faults_over = False
         self.faults: collections.Counter[str] = collections.Counter()
         self.crowds = 0
+        # Restarts without notice under each task.
+        self._restarts_under: collections.Counter[str] = collections.Counter()
         self.disturbed: collections.Counter[str] = collections.Counter()
         self.broken: list[str] = []
 
@@ -355,6 +357,7 @@
         if not executor.up or executor.announce_delay_s:
             return
         executor.announce_delay_s = rng.uniform(*ANNOUNCE_DELAY_S)
+        self._restarts_under.update(executor.running)
         await executor.restart()
         await curio.sleep(rng.uniform(*ANNOUNCE_DELAY_S))
         executor.cut_off = True
@@ -473,7 +476,14 @@
     def _check_failed(self, job_id: str, submitted: SubmittedJob) -> None:
         if submitted.cancelled:
             self.broken.append(f'{job_id}: failed once cancelled')
-        if not self._system.observer.may_have_failed(
+        observer = self._system.observer
+        # A task may be given up once two executors have crashed under it.
+        may_be_given_up = any(
+            count + observer.crashes[task] >= fake_executor.CRASHES_TO_GIVE_UP
+            and task.startswith(f'{job_id}.')
+            for task, count in self._restarts_under.items()
+        )
+        if not may_be_given_up and not observer.may_have_failed(
             job_id, platform_system.ATTEMPTS
         ):
             self.broken.append(f'{job_id}: given up without cause')
