--- a/banyantrack/testing/fake_executor.py
+++ b/banyantrack/testing/fake_executor.py
@@ -14,6 +14,7 @@
 
 import collections
 import dataclasses
+import inspect
 import json
 import random
 import time
@@ -127,7 +128,7 @@
         )
         self._starts_at_end: dict[tuple[str, int], int] = {}
 
-    def started(self, executor: str, run: Run, zone: str) -> None:
+    def started(self, executor: str, run: Run, zone: str = '') -> None:
         """Records a start."""
         since_s = time.monotonic() - self.evacuated_s.get(zone, float('inf'))
         if since_s > EVACUATION_GRACE_S:
@@ -514,7 +515,7 @@
         self._highest_run[task] = number
         self.tickets[task] = body.get('ticket', '')
         self._runs[task] = run
-        self._observer.started(self.name, run, self.zone)
+        self._observe_start(run)
         for kind, limit in self._enforced_capacity().items():
             used = sum(r.resources.get(kind, 0) for r in self._runs.values())
             if used > limit:
@@ -523,6 +524,15 @@
                 )
         return 200, {}
 
+    def _observe_start(self, run: Run) -> None:
+        # Observers that were written before zones could be evacuated do not
+        # take the zone.
+        started = self._observer.started
+        if 'zone' in inspect.signature(started).parameters:
+            started(self.name, run, self.zone)
+        else:
+            started(self.name, run)
+
     def _enforced_capacity(self) -> dict[str, int]:
         """Returns the capacity that a start must not exceed now."""
         now_s = time.monotonic()
