--- a/banyantrack/daemons/work_session.py
+++ b/banyantrack/daemons/work_session.py
@@ -960,7 +960,7 @@
         for key, task in self._state.live_runs(
             worker_id, link.record.incarnation
         ):
-            if link.may_have_reached_next(key, task.run):
+            if link.may_start_on_next(key, task.run):
                 run_id = layout.RunId(key, task.run)
                 self._misrouted[run_id] = _MisroutedRun(
                     worker_id, worker.incarnation
--- a/banyantrack/daemons/worker_link.py
+++ b/banyantrack/daemons/worker_link.py
@@ -272,7 +272,7 @@
             or (key, run) in self._stopping
         )
 
-    def may_have_reached_next(self, key: layout.TaskId, run: int) -> bool:
+    def may_start_on_next(self, key: layout.TaskId, run: int) -> bool:
         """Whether the next incarnation may carry out a run's start.
 
         The next incarnation has the same address and worker id. It may carry
--- a/banyantrack/tests/test_work_leadership.py
+++ b/banyantrack/tests/test_work_leadership.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import collections.abc
 from unittest import mock
 
 import curio
@@ -17,10 +18,26 @@
 HOLD = '/v1/hold'
 START = '/v1/run-start'
 STOP = '/v1/run-stop'
-PACE = '/v1/pace'
 Fate = simulation.Fate
 
 
+def _fate_of(
+    order: str, fates: list[Fate]
+) -> collections.abc.Callable[[simulation.Executor, str], Fate]:
+    """Returns a `Group.fate` for the next calls of one kind of order.
+
+    Args:
+        order: Path of the order.
+        fates: Fates of the next calls, the last one first; taken out one by
+            one. All other calls are answered.
+    """
+
+    def fate(_: simulation.Executor, path: str) -> Fate:
+        return fates.pop() if path == order and fates else Fate.ANSWERED
+
+    return fate
+
+
 class TestPauses(testtools.TestCase):
     """A start without an answer outlives pauses of the leader."""
 
@@ -351,9 +368,7 @@
         await curio.sleep(20)
         fates = [Fate.LATE]
         group.late_s = (late_s, late_s)
-        group.fate = lambda _, path: (
-            fates.pop() if path == START and fates else Fate.ANSWERED
-        )
+        group.fate = _fate_of(START, fates)
         group.submit('a', accelerators=8, work_ms=work_ms)
         while fates:
             await curio.sleep(0.001)
@@ -426,9 +441,7 @@
             executor = group.executors[0]
             fates = [Fate.LATE]
             group.late_s = (4.0, 4.0)
-            group.fate = lambda _, path: (
-                fates.pop() if path == START and fates else Fate.ANSWERED
-            )
+            group.fate = _fate_of(START, fates)
             group.submit('a', accelerators=8, work_ms=500)
             await curio.sleep(2.0)
             self.assertEqual({'completed': 1}, group.job_states())
@@ -597,9 +610,7 @@
             group.submit('b', work_ms=60_000)
             await curio.sleep(1.0)
             fates = [Fate.UNHEALTHY] * 3
-            group.fate = lambda _, path: (
-                fates.pop() if path == STOP and fates else Fate.ANSWERED
-            )
+            group.fate = _fate_of(STOP, fates)
             group.cancel('a')
             await curio.sleep(1.5)
             self.assertEqual([], fates)
@@ -612,9 +623,7 @@
         # status counted as a refusal, though its start was carried out.
         async def scenario(group: simulation.Group) -> None:
             fates = [Fate.ERROR] * 3
-            group.fate = lambda _, path: (
-                fates.pop() if path == START and fates else Fate.ANSWERED
-            )
+            group.fate = _fate_of(START, fates)
             group.submit('a', accelerators=8, work_ms=5000)
             await curio.sleep(15)
             self.assertEqual([], group.observer.broken)
@@ -629,9 +638,7 @@
             group.submit('a', accelerators=8, work_ms=60_000, queue='patient')
             await curio.sleep(1.0)
             fates = [Fate.UNHEALTHY]
-            group.fate = lambda _, path: (
-                fates.pop() if path == STOP and fates else Fate.ANSWERED
-            )
+            group.fate = _fate_of(STOP, fates)
             group.submit('b', accelerators=8, queue='urgent')
             await curio.sleep(1.0)
             self.assertEqual([], fates)
--- a/banyantrack/workload/worker_client.py
+++ b/banyantrack/workload/worker_client.py
@@ -207,6 +207,10 @@
     ) -> LeaseReply:
         """Renews the lease and returns the live and the ended runs.
 
+        A client that has yet to find out which incarnation answers, such as
+        on a new connection, leaves the lease as it is and acknowledges
+        nothing.
+
         Args:
             token: Fencing token of the leader.
             acknowledged: Number of the last ended run that is recorded; this
