Stand-in: a process that has crashed answers nothing

Traced in its log: a renewal that waited at the executor was answered during its crash, with the incarnation of before and a list that lacked the run, so the confirmed run was recorded as never begun and the crash had no suspect. A real process that has ended answers nothing. Change: the stand-in closes the connection if its incarnation has ended since the call arrived.

--- a/banyantrack/testing/fake_executor.py
+++ b/banyantrack/testing/fake_executor.py
@@ -436,8 +436,13 @@
             )
             await request.connection.close()
             return
+        incarnation = self._incarnation
         status, values = await self.carry_out(request.target, body)
         await self._wait_connected()
+        if self._incarnation != incarnation:
+            # The process has ended before its answer left.
+            await request.connection.close()
+            return
         await request.respond(status, wire.JSON_TYPE, wire.encode(values))
 
     async def carry_out(
